Back off from overbooked discovery, and watch from the known list

None of the 56 ingresses that were killed got a list again: they sent to 42 of 60 backends, many of them gone.

Ruled out: a service that is down for good (with a slower retry every ingress is subscribed again between 8 and 12 s), and patience alone (jitter with the old 250 ms start and a 4 s cap still left all 503: 18 calls a second are too many).

At fault: discovery.run, which waited a fixed 250 ms and fetched the list first though the configuration holds one, and list, which gave a call up after 1 s that the service went on working on.

Mend: exponential backoff with jitter (cenkalti/backoff), whose waits grow with the number of ingresses that share the service, ended only by a line and not by an accepted watch; a complete known list is followed by a watch from its revision, without a fetch. A tier of up to ten starts at 250 ms as before.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cenkalti/backoff/v5"
 )
 
 const (
@@ -17,9 +19,19 @@
 	// discovery has to tell counts as told after 6 s even if it never arrives,
 	// so a watch that was cut off must be noticed before that.
 	watchSilence = 4500 * time.Millisecond
-	watchRetry   = 250 * time.Millisecond
+	// Ingresses that lose discovery at one moment would all ask again in step,
+	// and one service that is overbooked would turn every one of them away for
+	// ever. Each waits twice as long after every failure, never in step, and
+	// the more of them there are, the longer: a call turned away costs the
+	// service too, so what all send together must stay under what it serves.
+	retryGrowth  = 2.0
+	retryJitter  = 0.8                    // part of a wait by which chance shortens or lengthens it
+	retryFirst   = 25 * time.Millisecond  // for each ingress of the tier: the first wait
+	retryLongest = 100 * time.Millisecond // for each ingress of the tier: the longest wait
+	retryLeast   = 250 * time.Millisecond // a lone ingress waits as long
+	retryMost    = 10 * time.Second       // a list older than that is worth a call in any tier
 	maxListLine  = 4 << 20
-	listPatience = time.Second // an agent that has a list answers at once
+	firstTry     = time.Second // an agent that has a list answers at once
 )
 
 // memberList is a list of backends, or the changes to one, as discovery sends it.
@@ -52,17 +64,19 @@
 	base     string
 	client   *http.Client
 	silence  time.Duration
-	patience time.Duration // with the whole list
+	patience time.Duration // of those who wait for the first try
 	deliver  func(memberList)
 	failing  bool // as last reported
+	retry    backoff.ExponentialBackOff
 }
 
 // sources follows discovery at one address, and moves to another without a gap:
 // the address before stays in force until the new one has told its whole list.
 type sources struct {
-	deliver func(memberList)
-	ctx     context.Context
-	close   context.CancelFunc
+	deliver  func(memberList)
+	gateways int // that ask the same service
+	ctx      context.Context
+	close    context.CancelFunc
 
 	mu      sync.Mutex
 	current *source // whose list is in force
@@ -71,15 +85,15 @@
 
 type source struct{ leave context.CancelFunc }
 
-func newSources(deliver func(memberList)) *sources {
-	s := &sources{deliver: deliver}
+func newSources(gateways int, deliver func(memberList)) *sources {
+	s := &sources{gateways: gateways, deliver: deliver}
 	s.ctx, s.close = context.WithCancel(context.Background())
 	return s
 }
 
-// follow moves to an address. started is called after the first try at its
-// list, whether it went well or not.
-func (s *sources) follow(addr string, started func()) {
+// follow moves to an address. known is the list held as that address told it,
+// or nil. started is called after the first try, whether it went well or not.
+func (s *sources) follow(addr string, known *memberList, started func()) {
 	ctx, leave := context.WithCancel(s.ctx)
 	src := &source{leave}
 	s.mu.Lock()
@@ -88,9 +102,9 @@
 	}
 	s.next = src
 	s.mu.Unlock()
-	d := newDiscovery(addr, func(l memberList) { s.take(src, l) })
+	d := newDiscovery(addr, s.gateways, func(l memberList) { s.take(src, l) })
 	go func() {
-		d.run(ctx, started)
+		d.run(ctx, known, started)
 		d.client.CloseIdleConnections()
 	}()
 }
@@ -112,18 +126,25 @@
 	}
 }
 
-func newDiscovery(addr string, deliver func(memberList)) *discovery {
+func newDiscovery(addr string, gateways int, deliver func(memberList)) *discovery {
+	wait := func(each time.Duration) time.Duration {
+		return min(max(time.Duration(gateways)*each, retryLeast), retryMost)
+	}
 	return &discovery{
 		base:    "http://" + addr + "/api/targets",
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
-		silence: watchSilence, patience: listPatience,
+		silence: watchSilence, patience: firstTry,
 		deliver: deliver,
+		retry: backoff.ExponentialBackOff{InitialInterval: wait(retryFirst), MaxInterval: wait(retryLongest),
+			Multiplier: retryGrowth, RandomizationFactor: retryJitter},
 	}
 }
 
 // list fetches the whole list.
 func (d *discovery) list(ctx context.Context) (l memberList, err error) {
-	ctx, cancel := context.WithTimeout(ctx, d.patience)
+	// One call waits in the service's line for as long as a watch may: asked
+	// again sooner, the service would still work on the call given up.
+	ctx, cancel := context.WithTimeout(ctx, d.silence)
 	defer cancel()
 	resp, err := d.get(ctx, d.base)
 	if err != nil {
@@ -152,11 +173,25 @@
 	return resp, nil
 }
 
-// run fetches the list and then watches it until ctx ends. started is called
-// once, after the first try at the list, whether it went well or not.
-func (d *discovery) run(ctx context.Context, started func()) {
+// run follows the list until ctx ends. With a list known already it only
+// watches for what changed since: a service that is overbooked by a whole tier
+// that starts at once serves that sooner than all lines again. Without one it
+// fetches the list first. started is called once, when the first try went well
+// or wrong, or has taken all patience.
+func (d *discovery) run(ctx context.Context, known *memberList, started func()) {
+	if started != nil {
+		once := sync.OnceFunc(started)
+		defer time.AfterFunc(d.patience, once).Stop()
+		started = once
+	} else {
+		started = func() {}
+	}
 	var revision int64
-	for have := false; ctx.Err() == nil; {
+	have := known != nil
+	if have {
+		revision = known.Revision
+	}
+	for ctx.Err() == nil {
 		if !have {
 			l, err := d.list(ctx)
 			if have = err == nil; have {
@@ -164,20 +199,17 @@
 				d.deliver(l)
 			}
 			d.report(ctx, err)
-			if started != nil {
-				started()
-				started = nil
-			}
+			started()
 		}
 		if have {
 			var err error
-			if revision, err = d.watch(ctx, revision); err != nil {
-				d.report(ctx, err)
-			}
+			revision, err = d.watch(ctx, revision, started)
+			d.report(ctx, err)
+			started()
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetry):
+		case <-time.After(d.retry.NextBackOff()):
 		}
 	}
 }
@@ -195,8 +227,9 @@
 }
 
 // watch follows changes after a revision until the connection ends or falls
-// silent, and returns the last revision delivered.
-func (d *discovery) watch(ctx context.Context, revision int64) (int64, error) {
+// silent, and returns the last revision delivered. It calls told for each line,
+// an empty one too.
+func (d *discovery) watch(ctx context.Context, revision int64, told func()) (int64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// A connection that was cut off stays open and silent for ever: only the
@@ -208,21 +241,23 @@
 		return revision, err
 	}
 	defer resp.Body.Close()
-	d.report(ctx, nil)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxListLine)
 	for lines.Scan() {
+		// An overbooked service may take a watch and break it before its first
+		// line, so only a line ends the backoff.
+		d.report(ctx, nil)
+		d.retry.Reset()
 		alarm.Reset(d.silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		var l memberList
-		if err := json.Unmarshal(line, &l); err != nil {
-			return revision, fmt.Errorf("discovery: watch: %w", err)
+		l := memberList{Revision: revision} // an empty line: nothing has changed
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			if err := json.Unmarshal(line, &l); err != nil {
+				return revision, fmt.Errorf("discovery: watch: %w", err)
+			}
 		}
 		revision = l.Revision
 		d.deliver(l)
+		told()
 	}
 	return revision, lines.Err()
 }
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -65,9 +66,9 @@
 	f := newFakeDiscovery(t, b.member("b"))
 	close(f.gate)
 	got := make(chan memberList, 10)
-	d := newDiscovery(f.Listener.Addr().String(), func(l memberList) { got <- l })
+	d := newDiscovery(f.Listener.Addr().String(), 1, func(l memberList) { got <- l })
 	d.silence = 50 * time.Millisecond
-	go d.run(t.Context(), func() {})
+	go d.run(t.Context(), nil, nil)
 	if l := wait(t, "the list", got); !l.Complete || len(l.Members) != 1 || l.Members[0] != b.member("b") {
 		t.Errorf("the list is %+v", l)
 	}
@@ -77,16 +78,101 @@
 
 func TestDiscoveryIsTriedAgain(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
 	d.patience = 20 * time.Millisecond
 	started := make(chan struct{}, 10)
-	go d.run(t.Context(), func() { started <- struct{}{} })
+	go d.run(t.Context(), nil, func() { started <- struct{}{} })
 	wait(t, "the first try to fail", started)
 	close(f.gate)
 	wait(t, "a watch", f.watched)
 	idle(t, "a second start", started)
 }
 
+// A whole tier that asks for all lines at its start overbooks discovery: with a
+// list known, only what changed since is asked for.
+func TestKnownListIsWatchedFromItsRevision(t *testing.T) {
+	b := newBackend(t)
+	f := newFakeDiscovery(t, b.member("b")) // its gate is closed: the whole list is never told
+	got, started := make(chan memberList, 10), make(chan struct{}, 10)
+	d := newDiscovery(f.Listener.Addr().String(), 1, func(l memberList) { got <- l })
+	d.patience = time.Hour
+	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, func() { started <- struct{}{} })
+	if index := wait(t, "a watch", f.watched); index != "5" {
+		t.Errorf("the watch begins at %s, want the known 5", index)
+	}
+	f.lines <- ""
+	if l := wait(t, "word that nothing changed", got); l.Complete || len(l.Members) != 0 || l.Revision != 5 {
+		t.Errorf("an empty line tells %+v", l)
+	}
+	wait(t, "the start", started)
+	f.lines <- `{"revision":6,"complete":false,"members":[{"id":"b","phase":"DRAINING"}]}`
+	if l := wait(t, "the change", got); l.Revision != 6 || len(l.Members) != 1 {
+		t.Errorf("the change is %+v", l)
+	}
+	idle(t, "a second start", started)
+}
+
+// The calls of all ingresses reach one service: the more there are, the less
+// often each may call, and no two in step.
+func TestRetriesOfAWholeTierAreSpread(t *testing.T) {
+	for _, tier := range []struct {
+		gateways       int
+		first, longest time.Duration
+	}{
+		{1, 250 * time.Millisecond, 250 * time.Millisecond},
+		{4, 250 * time.Millisecond, 400 * time.Millisecond},
+		{80, 2 * time.Second, 8 * time.Second},
+		{1000, 10 * time.Second, 10 * time.Second},
+	} {
+		seen := map[time.Duration]bool{}
+		for range 20 {
+			d := newDiscovery("", tier.gateways, nil)
+			within := func(what string, wait, mean time.Duration) {
+				low, high := time.Duration((1-retryJitter)*float64(mean)), time.Duration((1+retryJitter)*float64(mean))
+				if wait < low || wait > high+1 {
+					t.Errorf("%d gateways: the %s wait is %v, want %v to %v", tier.gateways, what, wait, low, high)
+				}
+			}
+			first := d.retry.NextBackOff()
+			seen[first] = true
+			within("first", first, tier.first)
+			for range 10 {
+				d.retry.NextBackOff()
+			}
+			within("longest", d.retry.NextBackOff(), tier.longest)
+			d.retry.Reset()
+			within("next first", d.retry.NextBackOff(), tier.first)
+		}
+		if len(seen) < 10 {
+			t.Errorf("%d gateways: only %d different first waits of 20", tier.gateways, len(seen))
+		}
+	}
+}
+
+// An overbooked service may take a watch and break it before it has told
+// anything: that is a failure like any other.
+func TestWatchThatTellsNothingKeepsTheBackoff(t *testing.T) {
+	f := newFakeDiscovery(t)
+	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
+	d.retry.InitialInterval, d.retry.MaxInterval = time.Millisecond, time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		d.run(ctx, &memberList{}, nil)
+		close(ended)
+	}()
+	for range 4 {
+		wait(t, "a watch", f.watched)
+		f.lines <- "end"
+	}
+	wait(t, "the fifth watch", f.watched) // four waits: 1, 2, 4 and 8 ms
+	cancel()
+	wait(t, "the end", ended)
+	if next, least := d.retry.NextBackOff(), time.Duration((1-retryJitter)*float64(16*time.Millisecond)); next < least {
+		t.Errorf("the next wait is %v, want at least %v", next, least)
+	}
+}
+
 // Unix time is turned into the gateway's clock; 0 means long ago.
 func TestStartOfABackendIsOnTheGatewaysClock(t *testing.T) {
 	r := newRig(t, nil, newBackend(t).member("b"))
@@ -141,7 +227,7 @@
 // What the old address tells after the new one's list is out of date.
 func TestLinesOfAnAddressLeftAreDropped(t *testing.T) {
 	got := make(chan int64, 10)
-	s := newSources(func(l memberList) { got <- l.Revision })
+	s := newSources(1, func(l memberList) { got <- l.Revision })
 	defer s.close()
 	old, next := &source{func() {}}, &source{func() {}}
 	s.next = old
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -50,7 +50,7 @@
 	}
 	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
-		sources: newSources(func(m memberList) {
+		sources: newSources(cfg.Choice.Gateways, func(m memberList) {
 			kind := choice.Delta
 			if m.Complete {
 				kind = choice.Full
@@ -79,12 +79,16 @@
 	defer func() { close(stop); <-s.loop.done }()
 	go s.loop.run(stop)
 	defer s.sources.close()
-	s.sources.follow(s.cfg.Discovery, func() { s.loop.post((*loop).open) })
+	var known *memberList
+	if s.cfg.Known.Complete {
+		known = &s.cfg.Known
+	}
+	s.sources.follow(s.cfg.Discovery, known, func() { s.loop.post((*loop).open) })
 	go func() {
 		for {
 			select {
 			case addr := <-s.moves:
-				s.sources.follow(addr, nil)
+				s.sources.follow(addr, nil, nil)
 			case <-s.loop.done:
 				return
 			}
