Let the window of attempts out grow for uneven traffic on many gateways

At fault: room. Its even part of 5 attempts a backend is 3.75 at 80 gateways and 60 backends, 5.7 with its slack, cut to 1.4 by class and chance; traffic does not fall evenly, and a usual moment at a busy gateway reaches that. Ruled out: real pressure (the window was open throughout, p50 110 ms).

Mend: the part grows with the root of the number of gateways over four, and late answers close it as before. Up to four gateways nothing changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,6 +55,7 @@
 	pressAnswer  = 0.2  // weight of one answer in it
 	windowWidest = 5.0  // attempts out for each ready backend, all gateways together, with the window open
 	windowLeast  = 0.2  // part of the window that stays open
+	windowFew    = 4.0  // gateways up to which traffic is taken to fall evenly on them
 	windowSlack  = 1.0  // deviations by which chance may take the attempts out beyond the window
 	clearAverage = 0.05 // weight of one request in the share that no pressure refuses
 	windowSpare  = 0.5  // share of the window kept for the work of most worth
@@ -532,9 +533,12 @@
 }
 
 // room is the window: this gateway's part of what the fleet works well with and what chance arrivals may add,
-// as far as it is open. Below one attempt it is met by chance, so that the sum over many gateways keeps.
+// as far as it is open. Below one attempt it is met by chance, so that the sum over many gateways keeps. The
+// more gateways, the less evenly traffic falls on them: an even part would refuse at the busy ones what the
+// fleet has room for, so parts grow with the root of their number, and late answers close those of all.
 func (g *Gateway) room() float64 {
-	part := windowWidest * float64(len(g.fleet)) / float64(g.cfg.Gateways)
+	gateways := float64(g.cfg.Gateways)
+	part := windowWidest * float64(len(g.fleet)) / gateways * max(1, math.Sqrt(gateways/windowFew))
 	return g.opened * (part + windowSlack*math.Sqrt(part))
 }
 
