Take a single request for no surge where many gateways expect little

At fault: surge, whose 0.4 units of doubt were chosen where a gateway expects a unit a period. At one of 60 it expects 0.06, so that any request of 1 or 2 units looks like three times the expected or more; admit multiplies it in again.

The doubt about others' use is left out as far as overuse costs nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,13 +15,16 @@
 
 // Settings. All tuned values stand here; each is a ratio to what Config states.
 const (
-	smoothUnits  = 8.0  // units: the offered rate is averaged over the time the rate takes to fill them
-	smoothLeast  = 1.5  // meter periods: the shortest such average
-	smoothOpen   = 2.0  // meter periods: the average where the reading is of open attempts
-	surgeUnits   = 0.4  // units: asked above the expected, they begin to tell of a surge
-	surgeRepeat  = 1.5  // units as which a client's repeat counts besides: another gateway has refused it
-	openPart     = 0.4  // mean of open attempts over their peak in a period
-	doubtShare   = 2.0  // deviations of what others may have passed since that the store must hold besides
+	fewGateways = 4.0  // gateways up to which each sees enough of every customer, and traffic falls evenly
+	smoothUnits = 8.0  // units: the offered rate is averaged over the time the rate takes to fill them
+	smoothLeast = 1.5  // meter periods: the shortest such average
+	smoothOpen  = 2.0  // meter periods: the average where the reading is of open attempts
+	surgeUnits  = 0.4  // units: asked above the expected, they begin to tell of a surge
+	surgeEach   = 0.05 // the same, for each gateway of the customer's set, where that is more
+	surgeRepeat = 1.5  // units as which a client's repeat counts besides: another gateway has refused it
+	openPart    = 0.4  // mean of open attempts over their peak in a period
+	doubtShare  = 2.0  // deviations of what others may have passed since that the store must hold besides,
+	// where a try beyond the quota costs its whole worth
 	boundPeriods = 6.0  // meter periods after which the store last shown says nothing of the one now
 	startUse     = 0.8  // share of its quota that a customer is taken to ask before any reading
 	startUnits   = 1.7  // units of quota in a reading that weigh as much as that guess
@@ -32,6 +35,7 @@
 	lagReadings  = 100  // readings over which the lag is learned
 	slotsPeriod  = 4    // slots of own history in one meter period
 	slotsKept    = 64   // slots of own history kept: lagMost periods and a little more
+	ceilingEven  = 0.5  // share of a ceiling dealt out evenly; the rest goes by own parts of the use
 	idlePeriods  = 60.0 // meter periods without a request after which a full customer is forgotten
 	sweepEvery   = 8.0  // meter periods between two sweeps of idle customers
 	failAverage  = 0.15 // weight of one outcome in a backend's share of failures
@@ -55,7 +59,6 @@
 	pressAnswer  = 0.2  // weight of one answer in it
 	windowWidest = 5.0  // attempts out for each ready backend, all gateways together, with the window open
 	windowLeast  = 0.2  // part of the window that stays open
-	windowFew    = 4.0  // gateways up to which traffic is taken to fall evenly on them
 	windowSlack  = 1.0  // deviations by which chance may take the attempts out beyond the window
 	clearAverage = 0.05 // weight of one request in the share that no pressure refuses
 	windowSpare  = 0.5  // share of the window kept for the work of most worth
@@ -237,6 +240,9 @@
 	return g, nil
 }
 
+// many is 0 among few gateways and nears 1 with their number: how far each sees only a little of the whole.
+func many(gateways float64) float64 { return max(0, 1-fewGateways/gateways) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Admission.
@@ -311,7 +317,7 @@
 		chance = 1
 	} else if p.Rate > 0 && g.now-c.storeAt < time.Duration(boundPeriods*float64(g.cfg.MeterPeriod)) {
 		others := max(0, c.mean-c.own) / g.cfg.MeterPeriod.Seconds() * max(1, surge)
-		doubt := doubtShare * math.Sqrt(others*(g.now-c.storeAt).Seconds())
+		doubt := doubtShare * min(1, p.OverCost) * math.Sqrt(others*(g.now-c.storeAt).Seconds())
 		if g.share(c, 1, others) < u+doubt {
 			chance = 0
 		}
@@ -328,8 +334,9 @@
 }
 
 // surge is how much more this gateway is asked than expected since the store was last shown, a witness of
-// what the late meter cannot show yet. surgeUnits keep chance from looking like one; among few gateways
-// it tells less, since traffic may have moved here from there. It covers any onset faster than the meter, and
+// what the late meter cannot show yet. surgeUnits keep chance from looking like one, and where many gateways
+// expect little of a customer each, more of them: there a single request is no surge. Among few gateways it
+// tells less, since traffic may have moved here from there. It covers any onset faster than the meter, and
 // harms a customer whose requests come in bursts at one of many gateways.
 func (g *Gateway) surge(c *customer, repeat bool) float64 {
 	period, scale := max(g.cfg.MeterPeriod, g.slot), 1.0
@@ -339,10 +346,11 @@
 	span := min(max(g.now-c.storeAt, period), slotsKept*g.slot)
 	asked := g.window(c, g.now-span, g.now+g.slot).offered
 	expected := max(c.asked, scale*c.mean/c.applied/c.spread) * span.Seconds() / period.Seconds()
+	doubt := max(surgeUnits, surgeEach*c.spread)
 	if repeat {
-		asked += surgeRepeat
+		asked += surgeRepeat * doubt / surgeUnits
 	}
-	return math.Pow((asked+surgeUnits)/(expected+surgeUnits), 1-1/c.spread)
+	return math.Pow((asked+doubt)/(expected+doubt), 1-1/c.spread)
 }
 
 // share is what is left of one of so many parts of the store shown, filled and drawn on since.
@@ -506,15 +514,22 @@
 
 // Ceiling.
 
-// ceilingHolds tells whether this gateway's even part of the ceiling's store holds the units. Parts add up to
-// no more than the whole, so no agreement is needed; a gateway that starts afresh starts from nothing.
+// ceilingHolds tells whether this gateway's part of the ceiling's store holds the units. Traffic falls on
+// many gateways unevenly, so half of the ceiling is dealt out by what each one's own use was of the use the
+// meter showed. Those parts add up to the whole, as even ones do, and no agreement is needed. Every part
+// holds one of the largest requests if there is room for that at all gateways; what is left is dealt out.
+// A gateway that starts afresh starts from nothing.
 func (g *Gateway) ceilingHolds(c *customer, u float64) bool {
 	p := c.plan
 	if p.CeilingRate <= 0 {
 		return true
 	}
-	fill := (g.now - c.ceilAt).Seconds() * p.CeilingRate / c.spread
-	c.ceiling = min(c.ceiling+fill, p.CeilingBurst/c.spread)
+	part, floor := 1/c.spread, min(g.cfg.MaxUnits, p.CeilingBurst/c.spread)
+	if c.measured && c.mean > 0 {
+		part += (1 - ceilingEven) * many(c.spread) * (min(1, c.own/c.mean) - part)
+	}
+	fill := (g.now - c.ceilAt).Seconds() * p.CeilingRate * part
+	c.ceiling = min(c.ceiling+fill, floor+(p.CeilingBurst-floor*c.spread)*part)
 	c.ceilAt = g.now
 	return c.ceiling >= u
 }
@@ -538,7 +553,7 @@
 // fleet has room for, so parts grow with the root of their number, and late answers close those of all.
 func (g *Gateway) room() float64 {
 	gateways := float64(g.cfg.Gateways)
-	part := windowWidest * float64(len(g.fleet)) / gateways * max(1, math.Sqrt(gateways/windowFew))
+	part := windowWidest * float64(len(g.fleet)) / gateways * max(1, math.Sqrt(gateways/fewGateways))
 	return g.opened * (part + windowSlack*math.Sqrt(part))
 }
 
