Take a first reading near the quota as one of a customer already held

Gateways that hear such a customer for the first time read 100 to 130 percent, since the others refuse him already, and go on passing 80 percent of what he asks them.

At fault: metered, which takes its own chance of 1 for the one in force at all gateways, and the store for full, when the first reading comes. Ruled out: refusing whom nothing is known of (86 in 100 such units are inside the quota).

Mend: from six tenths of the quota on, a first reading tells of others' refusals and of a drawn store, the more gateways the set has; not at all up to four.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,9 @@
 	// where a try beyond the quota costs its whole worth
 	boundPeriods = 6.0  // meter periods after which the store last shown says nothing of the one now
 	startUse     = 0.8  // share of its quota that a customer is taken to ask before any reading
+	startOver    = 0.6  // use of the quota from which a first reading begins to tell of a customer beyond it
+	startHeld    = 0.5  // share of what is asked that others then refuse, with the reading at the quota
+	startDrawn   = 0.9  // and share of the store that is then drawn
 	startUnits   = 1.7  // units of quota in a reading that weigh as much as that guess
 	calmUse      = 0.25 // share of its quota that a customer is taken to ask at least
 	leastChance  = 0.02 // floor of the admit chance, so that some answers always bring readings
@@ -470,10 +473,16 @@
 		g.fit(c, use, shown)
 	}
 	end := shown - time.Duration(g.meter.lag)*g.slot
-	gap, w := int64(1), 1.0
+	gap, w, held := int64(1), 1.0, 0.0
 	if p.Rate > 0 {
 		w = quota / (quota + startUnits)
 	}
+	if p.Rate > 0 && !c.measured {
+		// The other gateways of its set have heard this customer sooner and hold his use near the quota: a
+		// first reading near or beyond it tells of one who asks for more, and whose store is spent.
+		held = many(c.spread) * min(1, max(0, (used-startOver)/(1-startOver)))
+		c.store = p.Burst * (1 - startDrawn*held)
+	}
 	if c.measured {
 		gap = min(number-c.period, slotsKept/slotsPeriod)
 		w = 1 - math.Exp(-float64(gap)/tau)
@@ -489,6 +498,7 @@
 	c.own += w * (sum.passed - c.own)
 	c.asked += w * (sum.offered - c.asked)
 	c.applied += w * (max(sum.chance, leastChance) - c.applied)
+	c.applied *= 1 - startHeld*held
 	c.chance = c.applied * quota / max(c.mean, calmUse*quota)
 	c.measured, c.period = true, number
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -726,6 +726,35 @@
 	}
 }
 
+// One of sixty gateways hears of a customer for the first time, and that he uses
+// more than his quota: the others refuse him already, and he asks for far more.
+func TestFirstReadingBeyondTheQuotaTellsOfMore(t *testing.T) {
+	pass := func(gateways int, used float64) (passed int) {
+		cfg := plain()
+		cfg.Gateways, cfg.MaxUnits, cfg.MeterPeriod = gateways, 2, time.Second
+		cfg.Plans[0].Rate, cfg.Plans[0].Burst = 4, 17
+		for seed := range uint64(200) {
+			rec := record()
+			g, err := choice.New(cfg, seed, 0, rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Members(0, choice.Cached, backends(60))
+			ask(g, rec, 0, choice.Request{ID: 1, Customer: 1, Spread: gateways, Units: 2}, used)
+			if ask(g, rec, 8*time.Second, choice.Request{ID: 2, Customer: 1, Spread: gateways, Units: 2}, used) {
+				passed++
+			}
+		}
+		return
+	}
+	if n := pass(60, 1.2); n > 130 {
+		t.Errorf("%d of 200 pass after a first reading of 120 percent, want far fewer than all", n)
+	}
+	if n := pass(60, 0.5); n < 190 {
+		t.Errorf("%d of 200 pass after a first reading of half the quota, want nearly all", n)
+	}
+}
+
 // One of a hundred gateways is asked again and again by a customer that it has
 // not measured: no reading tells, its own arrivals must.
 func TestOwnArrivalsThinOutAnUnmeasuredSpike(t *testing.T) {
