Start small parts of a ceiling with one of the largest requests

At fault: customer, which starts every part empty, whatever its size.

Mend: beyond four gateways a part starts with one of the largest requests. All gateways of a set together risk two thirds of what a slack and the unused parts of the others bear; up to four gateways parts start empty as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -281,13 +281,17 @@
 	c := g.customers[key]
 	if c == nil {
 		p := &g.cfg.Plans[in.Plan]
-		// The part of the ceiling begins empty when the gateway starts, since one before it may have drawn
-		// all of it; it fills from then on whether the customer is known or not.
+		// The part of the ceiling fills from the gateway's start on, whether the customer is known or not:
+		// one before it may have drawn all of it. Where parts are small, it begins with one of the largest
+		// requests: filled from nothing, they would refuse everybody for seconds.
 		c = &customer{plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
 			ceilAt: g.born, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
 		if p.Rate <= 0 {
 			c.mean = startUse
 		}
+		if set := float64(max(in.Spread, 1)); set > fewGateways {
+			c.ceiling = min(g.cfg.MaxUnits, p.CeilingBurst/set)
+		}
 		c.head = g.slotOf(g.now)
 		for i := range c.slots {
 			// Before it was known, only pressure refused.
@@ -528,7 +532,7 @@
 // many gateways unevenly, so half of the ceiling is dealt out by what each one's own use was of the use the
 // meter showed. Those parts add up to the whole, as even ones do, and no agreement is needed. Every part
 // holds one of the largest requests if there is room for that at all gateways; what is left is dealt out.
-// A gateway that starts afresh starts from nothing.
+// A gateway that starts afresh starts from nothing, or from one request among many.
 func (g *Gateway) ceilingHolds(c *customer, u float64) bool {
 	p := c.plan
 	if p.CeilingRate <= 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -486,6 +486,21 @@
 }
 
 // A ceiling's part that is not full again must not be forgotten with its customer.
+// One of forty gateways gets a fortieth of the ceiling: empty, it would take
+// seconds until the first request passes. One request is what it may risk.
+func TestSmallCeilingPartStartsWithOneRequest(t *testing.T) {
+	cfg := plain()
+	cfg.Gateways, cfg.MaxUnits = 40, 2
+	cfg.Plans[0].CeilingRate, cfg.Plans[0].CeilingBurst = 20, 160
+	g, rec := open(t, cfg, backends(40))
+	if !ask(g, rec, 0, choice.Request{ID: 1, Customer: 1, Spread: 40, Units: 2}, -1) {
+		t.Error("the first request is refused")
+	}
+	if ask(g, rec, 100*ms, choice.Request{ID: 2, Customer: 1, Spread: 40, Units: 2}, -1) {
+		t.Error("a second one passes of a part that had one request and a tenth of a second to fill")
+	}
+}
+
 // At the gateway where half of a customer's traffic comes in, an even part of
 // one in forty would refuse most of it far below the ceiling. The parts of all
 // gateways must add up to the ceiling no less.
