Hold clients up for the first word of discovery for 250 ms, not for 1 s

Their watch waits in the line of the overbooked service, and readiness waits for it, though the last list would serve.

At fault: firstTry, 1 s, chosen for an agent that answers at once. Mend: 250 ms.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -31,7 +31,10 @@
 	retryLeast   = 250 * time.Millisecond // a lone ingress waits as long
 	retryMost    = 10 * time.Second       // a list older than that is worth a call in any tier
 	maxListLine  = 4 << 20
-	firstTry     = time.Second // an agent that has a list answers at once
+	// firstTry is how long clients are held up for the first word of discovery:
+	// an agent that has a list answers at once, and an overbooked service may
+	// let a restarted ingress wait for seconds while its last list would do.
+	firstTry = 250 * time.Millisecond
 )
 
 // memberList is a list of backends, or the changes to one, as discovery sends it.
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -112,6 +112,19 @@
 	idle(t, "a second start", started)
 }
 
+// An overbooked service lets a call wait. Clients are not held up for that: the
+// list that is known serves until it answers.
+func TestWaitingCallHoldsNobodyUp(t *testing.T) {
+	f := newFakeDiscovery(t)
+	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
+	d.patience = time.Millisecond
+	started := make(chan struct{}, 10)
+	go d.run(t.Context(), &memberList{Complete: true}, func() { started <- struct{}{} })
+	wait(t, "the start, though the watch tells nothing", started)
+	wait(t, "the watch to be open all the same", f.watched)
+	idle(t, "a second watch", f.watched)
+}
+
 // The calls of all ingresses reach one service: the more there are, the less
 // often each may call, and no two in step.
 func TestRetriesOfAWholeTierAreSpread(t *testing.T) {
