Prefer backends with a kept connection where handshakes cost

Each pick takes three backends by chance and knows nothing of kept connections.

At fault: cost, which weighs no handshake. Ruled out: connections that close early (none closed as idle, none written to after that).

Mend: the settings' price of a handshake and idle time reach Config; a backend without a connection that carried an answer of late costs more by that price. Where the price is 0, as on the small fleets, nothing changes.

--- a/choice/api.go
+++ b/choice/api.go
@@ -41,6 +41,8 @@
 	FallMultiple  float64       // a cold backend sent more than this multiple of its capacity
 	FallFor       time.Duration // for this long falls over
 	DrainGrace    time.Duration // sends to a draining backend must have ceased by then
+	HandshakeCost float64       // price of a fresh connection for an attempt, as a part of a request's worth
+	ConnIdle      time.Duration // an idle connection to a backend is closed after this at the latest; 0: unknown
 	CrossZoneCost float64       // price of an attempt that leaves the zone, as a part of a request's worth
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,6 +72,7 @@
 	costOthers   = 0.5  // weight of a request that its report shows besides
 	costLeast    = 0.5  // means: no backend's latency counts as shorter
 	costZone     = 5.0  // weight of the price for leaving the zone
+	costShake    = 12.0 // weight of the price for a fresh connection
 	costFails    = 4.0  // weight of a share of failures
 	costChance   = 0.1  // part of the cost left to chance
 	probeShare   = 0.3  // probes earned by one first attempt, where reports show the requests held
@@ -190,6 +191,7 @@
 	fails    float64       // share of failures
 	waiting  time.Duration // first send since the last answer
 	heard    time.Duration // last answer or time-out
+	kept     int           // own connections that carried an answer and are free again
 	until    time.Duration // ejected until
 }
 
@@ -643,6 +645,9 @@
 	if b.Zone != g.cfg.Zone {
 		c *= 1 + costZone*g.cfg.CrossZoneCost
 	}
+	if b.kept == 0 || g.cfg.ConnIdle > 0 && g.now-b.heard > g.cfg.ConnIdle/2 {
+		c *= 1 + costShake*g.cfg.HandshakeCost
+	}
 	c *= 1 + costFails*(b.fails+g.zones[b.Zone])
 	return c * (1 + costChance*g.rng.Float64())
 }
@@ -737,7 +742,7 @@
 			g.backends[m.ID] = b
 		}
 		if b.Dated != m.Dated || b.Started != m.Started {
-			b.until, b.fails, b.lat = 0, 0, 1
+			b.until, b.fails, b.lat, b.kept = 0, 0, 1, 0
 		}
 		if b.Backend = m; m.State == Ready && !slices.Contains(g.fleet, b) {
 			g.fleet = append(g.fleet, b)
@@ -782,6 +787,7 @@
 	if b.out == 0 {
 		b.waiting = g.now
 	}
+	b.kept = max(0, b.kept-1)
 	b.out++
 	g.out++
 	r.out++
@@ -888,6 +894,9 @@
 	if o.Status == OK || o.Status == Refused || o.Status == Error {
 		a.to.waiting = g.now
 	}
+	if o.Status == OK {
+		a.to.kept++
+	}
 	if o.Status != Refused && o.Status != Cancelled && o.Status != Moot {
 		a.to.heard = g.now
 		g.judge(a.to, o.Status != OK, w)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -842,3 +842,31 @@
 		}
 	}
 }
+
+// Where fresh connections cost, picks prefer backends to which one is kept, as
+// long as those are not busier; a connection idle for too long counts no more.
+func TestPicksPreferKeptConnections(t *testing.T) {
+	reached := func(cost float64, gap time.Duration) int {
+		cfg := plain()
+		cfg.Gateways, cfg.HandshakeCost, cfg.ConnIdle = 80, cost, 10*time.Second
+		g, rec := open(t, cfg, backends(60))
+		to := map[uint32]bool{}
+		for i := range uint32(60) {
+			now := time.Duration(i) * gap
+			g.Request(now, choice.Request{ID: i + 1, Customer: uint64(i), Spread: 1, Units: 1, TimeLeft: time.Second})
+			for _, b := range rec.sent[i+1] {
+				to[b] = true
+				// As slow as is taken for usual at the start, so that latency speaks for no backend.
+				g.Outcome(now, choice.Outcome{ID: i + 1, Backend: b, Status: choice.OK, Elapsed: 100 * ms, Over: true})
+			}
+		}
+		return len(to)
+	}
+	free, dear, idle := reached(0, 50*ms), reached(0.08, 50*ms), reached(0.08, 6*time.Second)
+	if dear > free*2/3 {
+		t.Errorf("60 requests one by one open connections to %d backends, %d if that costs nothing; want far fewer", dear, free)
+	}
+	if idle < free*5/6 {
+		t.Errorf("with connections idle for too long %d backends are used, want about %d", idle, free)
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -18,6 +18,7 @@
 		RetryAfter    bool    `json:"retry_after"`
 		SecondCopies  bool    `json:"second_copies"`
 		TryLimit      int     `json:"try_limit"`
+		ConnIdle      float64 `json:"conn_idle_ms"`
 	} `json:"bounds"`
 	Discovery  string `json:"discovery"`
 	Invariants struct {
@@ -29,6 +30,7 @@
 	} `json:"invariants"`
 	Prices struct {
 		CrossZone float64 `json:"cross_zone"`
+		Handshake float64 `json:"handshake"`
 	} `json:"prices"`
 	Report struct {
 		Fields []string `json:"fields"`
@@ -85,6 +87,7 @@
 		ColdFrom:       s.Invariants.ColdFrom, ColdFor: millis(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: millis(s.Invariants.FallFor),
 		DrainGrace: millis(s.Invariants.DrainGrace), CrossZoneCost: s.Prices.CrossZone,
+		HandshakeCost: s.Prices.Handshake, ConnIdle: millis(s.Bounds.ConnIdle),
 	}
 	for _, f := range s.Report.Fields {
 		if word, ok := fields[f]; ok {
