Call again within a drain's grace where lists are pushed

The agent goes silent at 3.3 s, the open watch is given up at 6.5 s, the next call waits in silence and is answered in the very moment of the agent's return, 11.3 s. An ingress whose wait covers that moment calls only after it: the waits grow with the tier, to 7.5 s and 10 s at 300 gateways, both with 0.8 jitter. Ruled out: lists that come late by themselves, and sends after the list was held (the first broken sends all came before the list).

At fault: newDiscovery, which takes the pace of one overbooked service for all, and discarded what the settings say (discovery, push or ask).

Mend: a pace for each. Pushed: parts of the grace of a drain. Asked: as before, but that the first call after a working watch comes before its silence counts as told (at 300 gateways it came up to 13.5 s later).

--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -66,6 +66,15 @@
 	kinds          map[string]int
 	connIdle       time.Duration // a backend closes connections idle for so long
 	connectTimeout time.Duration
+	ask            bool // the list of backends has to be asked for
+}
+
+// pace is how discovery is followed.
+func (cfg *Config) pace() pace {
+	if cfg.ask {
+		return asked(cfg.Choice.Gateways, cfg.Choice.DrainGrace)
+	}
+	return pushed(cfg.Choice.DrainGrace)
 }
 
 // LoadConfig reads the file that NODE_CONFIG names. The other NODE_ variables
@@ -110,7 +119,7 @@
 	if err := json.Unmarshal(data, &file); err != nil {
 		return Config{}, err
 	}
-	decisions, _, err := wire.ParseConfig(file.Settings)
+	decisions, ask, err := wire.ParseConfig(file.Settings)
 	if err != nil {
 		return Config{}, err
 	}
@@ -135,7 +144,7 @@
 	cfg := Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known,
 		Choice: decisions, classes: map[string]int{}, plans: map[string]int{}, zones: map[string]int{}, kinds: map[string]int{},
-		connIdle: millis(s.Bounds.ConnIdle), connectTimeout: millis(s.Bounds.ConnectTimeout),
+		connIdle: millis(s.Bounds.ConnIdle), connectTimeout: millis(s.Bounds.ConnectTimeout), ask: ask,
 	}
 	if file.Seed != "" {
 		if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -15,28 +19,83 @@
 )
 
 const (
-	// watchSilence is two of the lines that come every 2 s and a little. What
-	// discovery has to tell counts as told after 6 s even if it never arrives,
-	// so a watch that was cut off must be noticed before that.
-	watchSilence = 4500 * time.Millisecond
-	// Ingresses that lose discovery at one moment would all ask again in step,
-	// and one service that is overbooked would turn every one of them away for
-	// ever. Each waits twice as long after every failure, never in step, and
-	// the more of them there are, the longer: a call turned away costs the
-	// service too, so what all send together must stay under what it serves.
-	retryGrowth  = 2.0
-	retryJitter  = 0.8                    // part of a wait by which chance shortens or lengthens it
-	retryFirst   = 25 * time.Millisecond  // for each ingress of the tier: the first wait
-	retryLongest = 100 * time.Millisecond // for each ingress of the tier: the longest wait
-	retryLeast   = 250 * time.Millisecond // a lone ingress waits as long
-	retryMost    = 10 * time.Second       // a list older than that is worth a call in any tier
-	maxListLine  = 4 << 20
+	// keepalive is how often a watch says at least an empty line.
+	keepalive = 2 * time.Second
+	// toldAfter is when what discovery has to tell counts as told, though it
+	// never arrived: so much after a watch fell silent.
+	toldAfter = 6 * time.Second
+	// maxWord bounds a list, and a change of one.
+	maxWord = 4 << 20
 	// firstTry is how long clients are held up for the first word of discovery:
 	// an agent that has a list answers at once, and an overbooked service may
 	// let a restarted ingress wait for seconds while its last list would do.
-	firstTry = 250 * time.Millisecond
+	firstTry    = 250 * time.Millisecond
+	retryGrowth = 2.0
 )
 
+// pace is how soon silence is noticed, and how soon discovery is called again.
+type pace struct {
+	silence time.Duration // a watch that says nothing for so long is broken
+	answer  time.Duration // and so is a call without a first word
+	first   time.Duration // the first wait between two calls
+	longest time.Duration // the longest one
+	jitter  float64       // part of a wait by which chance shortens or lengthens it
+	due     time.Duration // the last word of discovery is followed by a call within this
+}
+
+// Lists that are pushed lie with an agent on the ingress's own machine. It
+// answers at once and at no cost, and what it has counts as told from the
+// moment it has it: an ingress that hears of a drain later than that has so
+// much less of the time in which it must have stopped sending. All waits are
+// parts of that time, so that a silence, a lost call and a wait together stay
+// well inside it.
+const (
+	pushedAnswer  = 4  // of the grace of a drain: what a call, or a late line of a watch, may take
+	pushedLongest = 8  // the longest wait
+	pushedFirst   = 32 // the first one
+	pushedJitter  = 0.5
+	pushedGrace   = 2 * time.Second // where the settings name no grace
+)
+
+// Lists that are asked for come from one service, which all ingresses call.
+// Those that lose it at one moment would all ask again in step, and overbooked
+// it would turn every one of them away for ever. Each waits twice as long after
+// every failure, never in step, and the more of them there are, the longer: a
+// call turned away costs the service too, so what all send together must stay
+// under what it serves.
+const (
+	// askedSilence is two of the lines that come every 2 s and a little.
+	askedSilence = 2*keepalive + 500*time.Millisecond
+	askedJitter  = 0.8
+	askedFirst   = 25 * time.Millisecond  // for each ingress of the tier: the first wait
+	askedLongest = 100 * time.Millisecond // for each ingress of the tier: the longest wait
+	askedLeast   = 250 * time.Millisecond // a lone ingress waits as long
+	askedMost    = 10 * time.Second       // a list older than that is worth a call in any tier
+	// askedCall is left for a call itself, of the time after which a lost watch
+	// counts as if it had told everything.
+	askedCall = 1500 * time.Millisecond
+)
+
+// pushed is the pace towards an agent of the ingress's own. grace is the time
+// after which nothing more may go to a backend that is told to drain.
+func pushed(grace time.Duration) pace {
+	if grace <= 0 {
+		grace = pushedGrace
+	}
+	answer := grace / pushedAnswer
+	return pace{silence: keepalive + answer, answer: answer,
+		first: grace / pushedFirst, longest: grace / pushedLongest, jitter: pushedJitter, due: toldAfter + grace}
+}
+
+// asked is the pace towards a service that all ingresses of the tier call.
+func asked(gateways int, grace time.Duration) pace {
+	wait := func(each time.Duration) time.Duration {
+		return min(max(time.Duration(gateways)*each, askedLeast), askedMost)
+	}
+	return pace{silence: askedSilence, answer: askedSilence, first: wait(askedFirst), longest: wait(askedLongest),
+		jitter: askedJitter, due: toldAfter + max(grace, 0) - askedCall}
+}
+
 // memberList is a list of backends, or the changes to one, as discovery sends it.
 type memberList struct {
 	Revision int64    `json:"revision"`
@@ -64,22 +123,23 @@
 
 // discovery follows the list of backends and hands each part of it on, in order.
 type discovery struct {
+	pace
 	base     string
 	client   *http.Client
-	silence  time.Duration
 	patience time.Duration // of those who wait for the first try
 	deliver  func(memberList)
-	failing  bool // as last reported
+	failing  bool      // as last reported
+	heard    time.Time // the last word since a call was made; zero: none
 	retry    backoff.ExponentialBackOff
 }
 
 // sources follows discovery at one address, and moves to another without a gap:
 // the address before stays in force until the new one has told its whole list.
 type sources struct {
-	deliver  func(memberList)
-	gateways int // that ask the same service
-	ctx      context.Context
-	close    context.CancelFunc
+	deliver func(memberList)
+	pace    pace
+	ctx     context.Context
+	close   context.CancelFunc
 
 	mu      sync.Mutex
 	current *source // whose list is in force
@@ -88,8 +148,8 @@
 
 type source struct{ leave context.CancelFunc }
 
-func newSources(gateways int, deliver func(memberList)) *sources {
-	s := &sources{gateways: gateways, deliver: deliver}
+func newSources(p pace, deliver func(memberList)) *sources {
+	s := &sources{pace: p, deliver: deliver}
 	s.ctx, s.close = context.WithCancel(context.Background())
 	return s
 }
@@ -105,7 +165,7 @@
 	}
 	s.next = src
 	s.mu.Unlock()
-	d := newDiscovery(addr, s.gateways, func(l memberList) { s.take(src, l) })
+	d := newDiscovery(addr, s.pace, func(l memberList) { s.take(src, l) })
 	go func() {
 		d.run(ctx, known, started)
 		d.client.CloseIdleConnections()
@@ -129,32 +189,28 @@
 	}
 }
 
-func newDiscovery(addr string, gateways int, deliver func(memberList)) *discovery {
-	wait := func(each time.Duration) time.Duration {
-		return min(max(time.Duration(gateways)*each, retryLeast), retryMost)
-	}
+func newDiscovery(addr string, p pace, deliver func(memberList)) *discovery {
 	return &discovery{
-		base:    "http://" + addr + "/api/targets",
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
-		silence: watchSilence, patience: firstTry,
-		deliver: deliver,
-		retry: backoff.ExponentialBackOff{InitialInterval: wait(retryFirst), MaxInterval: wait(retryLongest),
-			Multiplier: retryGrowth, RandomizationFactor: retryJitter},
+		pace:     p,
+		base:     "http://" + addr + "/api/targets",
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		patience: firstTry,
+		deliver:  deliver,
+		retry: backoff.ExponentialBackOff{InitialInterval: p.first, MaxInterval: p.longest,
+			Multiplier: retryGrowth, RandomizationFactor: p.jitter},
 	}
 }
 
 // list fetches the whole list.
 func (d *discovery) list(ctx context.Context) (l memberList, err error) {
-	// One call waits in the service's line for as long as a watch may: asked
-	// again sooner, the service would still work on the call given up.
-	ctx, cancel := context.WithTimeout(ctx, d.silence)
+	ctx, cancel := context.WithTimeout(ctx, d.answer)
 	defer cancel()
 	resp, err := d.get(ctx, d.base)
 	if err != nil {
 		return l, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxWord)).Decode(&l); err != nil {
 		return l, fmt.Errorf("discovery: list: %w", err)
 	}
 	return l, nil
@@ -195,6 +251,7 @@
 		revision = known.Revision
 	}
 	for ctx.Err() == nil {
+		d.heard = time.Time{}
 		if !have {
 			l, err := d.list(ctx)
 			if have = err == nil; have {
@@ -212,11 +269,23 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(d.retry.NextBackOff()):
+		case <-time.After(d.wait(time.Now())):
 		}
 	}
 }
 
+// wait is how long to wait before the next call. A list that worked until now
+// is worth a call before its silence counts as if it had told everything; how
+// much before is left to chance, so that a tier that lost it at one moment does
+// not come in step.
+func (d *discovery) wait(now time.Time) time.Duration {
+	wait := d.retry.NextBackOff()
+	if left := d.due - now.Sub(d.heard); !d.heard.IsZero() && wait > left {
+		wait = max(0, time.Duration((1-d.jitter*rand.Float64())*float64(left)))
+	}
+	return wait
+}
+
 // report logs when discovery is lost and when it is back, not every try.
 func (d *discovery) report(ctx context.Context, err error) {
 	if failing := err != nil; failing != d.failing && ctx.Err() == nil {
@@ -230,27 +299,28 @@
 }
 
 // watch follows changes after a revision until the connection ends or falls
-// silent, and returns the last revision delivered. It calls told for each line,
-// an empty one too.
+// silent, and returns the last revision delivered. It calls told for each word
+// of discovery, an empty line too.
 func (d *discovery) watch(ctx context.Context, revision int64, told func()) (int64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	// A connection that was cut off stays open and silent for ever: only the
-	// missing empty lines tell.
-	alarm := time.AfterFunc(d.silence, cancel)
+	// missing words tell.
+	alarm := time.AfterFunc(d.answer, func() { cancel(errSilence) })
 	defer alarm.Stop()
 	resp, err := d.get(ctx, fmt.Sprintf("%s?stream=1&index=%d", d.base, revision))
 	if err != nil {
-		return revision, err
+		return revision, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
 	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxListLine)
+	lines.Buffer(nil, maxWord)
 	for lines.Scan() {
 		// An overbooked service may take a watch and break it before its first
 		// line, so only a line ends the backoff.
 		d.report(ctx, nil)
 		d.retry.Reset()
+		d.heard = time.Now()
 		alarm.Reset(d.silence)
 		l := memberList{Revision: revision} // an empty line: nothing has changed
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
@@ -262,5 +332,7 @@
 		d.deliver(l)
 		told()
 	}
-	return revision, lines.Err()
+	return revision, cmp.Or(context.Cause(ctx), lines.Err())
 }
+
+var errSilence = errors.New("no word came in time")
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,7 +69,7 @@
 	f := newFakeDiscovery(t, b.member("b"))
 	close(f.gate)
 	got := make(chan memberList, 10)
-	d := newDiscovery(f.Listener.Addr().String(), 1, func(l memberList) { got <- l })
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(l memberList) { got <- l })
 	d.silence = 50 * time.Millisecond
 	go d.run(t.Context(), nil, nil)
 	if l := wait(t, "the list", got); !l.Complete || len(l.Members) != 1 || l.Members[0] != b.member("b") {
@@ -78,7 +81,7 @@
 
 func TestDiscoveryIsTriedAgain(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
 	d.patience = 20 * time.Millisecond
 	started := make(chan struct{}, 10)
 	go d.run(t.Context(), nil, func() { started <- struct{}{} })
@@ -94,7 +97,7 @@
 	b := newBackend(t)
 	f := newFakeDiscovery(t, b.member("b")) // its gate is closed: the whole list is never told
 	got, started := make(chan memberList, 10), make(chan struct{}, 10)
-	d := newDiscovery(f.Listener.Addr().String(), 1, func(l memberList) { got <- l })
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(l memberList) { got <- l })
 	d.patience = time.Hour
 	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, func() { started <- struct{}{} })
 	if index := wait(t, "a watch", f.watched); index != "5" {
@@ -116,7 +119,7 @@
 // list that is known serves until it answers.
 func TestWaitingCallHoldsNobodyUp(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
 	d.patience = time.Millisecond
 	started := make(chan struct{}, 10)
 	go d.run(t.Context(), &memberList{Complete: true}, func() { started <- struct{}{} })
@@ -125,6 +128,101 @@
 	idle(t, "a second watch", f.watched)
 }
 
+// A service that accepts a call and never answers it, or answers with its
+// headers alone, is called again.
+func TestSilentCallIsMadeAgain(t *testing.T) {
+	for name, headers := range map[string]bool{"without a byte": false, "after the headers": true} {
+		called := make(chan struct{}, 100)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if headers {
+				w.(http.Flusher).Flush()
+			}
+			called <- struct{}{}
+			<-r.Context().Done()
+		}))
+		p := pushed(time.Hour)
+		p.answer, p.first, p.longest = 20*time.Millisecond, time.Millisecond, time.Millisecond
+		for _, known := range []*memberList{nil, {Revision: 5, Complete: true}} {
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			d := newDiscovery(s.Listener.Addr().String(), p, func(l memberList) { t.Errorf("%s: %+v is told", name, l) })
+			go func() { d.run(ctx, known, nil); close(ended) }()
+			for range 3 {
+				wait(t, "a call", called)
+			}
+			stop()
+			wait(t, "the end", ended)
+			for len(called) > 0 {
+				<-called
+			}
+		}
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+// What an agent has counts as told at once. However many ingresses there are,
+// one that comes back after a silence must be heard before a drain's grace is over.
+func TestPushedListsAreCalledForInTime(t *testing.T) {
+	for _, grace := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
+		p := pushed(grace)
+		if grace == 0 {
+			grace = pushedGrace
+		}
+		d := newDiscovery("", p, nil)
+		now := time.Now()
+		d.heard = now.Add(-p.silence)
+		for range 100 {
+			if late := p.answer + d.wait(now); late > grace/2 {
+				t.Errorf("grace %v: an agent that speaks again is heard after %v", grace, late)
+			}
+			if late := p.silence + p.answer + d.wait(now); late > toldAfter+grace/2 {
+				t.Errorf("grace %v: what a silent watch misses is heard after %v", grace, late)
+			}
+		}
+	}
+}
+
+// A watch that worked and is lost is followed by a call before its silence
+// counts as if it had told everything; what fails then is backed off from.
+func TestLostWatchOfAServiceIsOpenedInTime(t *testing.T) {
+	const grace = 2 * time.Second
+	d := newDiscovery("", asked(300, grace), nil)
+	now := time.Now()
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		d.retry.Reset()
+		d.heard = now.Add(-d.silence)
+		wait := d.wait(now)
+		if late := d.silence + wait; wait <= 0 || late+askedCall > toldAfter+grace {
+			t.Errorf("a watch that fell silent is opened after %v", late)
+		}
+		seen[wait] = true
+		d.heard = time.Time{}
+		if wait := d.wait(now); wait < time.Duration((1-askedJitter)*float64(10*time.Second)) {
+			t.Errorf("a failed call is followed by another after %v", wait)
+		}
+	}
+	if len(seen) < 50 {
+		t.Errorf("only %d different waits of 100", len(seen))
+	}
+}
+
+// The settings tell whether lists are pushed or have to be asked for.
+func TestPaceFollowsTheSettings(t *testing.T) {
+	for word, want := range map[string]pace{"push": pushed(500 * time.Millisecond), "ask": asked(300, 500*time.Millisecond)} {
+		text := strings.NewReplacer(`"balancers":1,`, `"balancers":300,`, `"discovery":"push"`, fmt.Sprintf(`"discovery":%q`, word)).
+			Replace(fmt.Sprintf(settings, 1))
+		cfg, err := ParseConfig(fmt.Appendf(nil, `{"settings":%s}`, text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := cfg.pace(); got != want {
+			t.Errorf("%s: the pace is %+v, want %+v", word, got, want)
+		}
+	}
+}
+
 // The calls of all ingresses reach one service: the more there are, the less
 // often each may call, and no two in step.
 func TestRetriesOfAWholeTierAreSpread(t *testing.T) {
@@ -139,9 +237,9 @@
 	} {
 		seen := map[time.Duration]bool{}
 		for range 20 {
-			d := newDiscovery("", tier.gateways, nil)
+			d := newDiscovery("", asked(tier.gateways, 0), nil)
 			within := func(what string, wait, mean time.Duration) {
-				low, high := time.Duration((1-retryJitter)*float64(mean)), time.Duration((1+retryJitter)*float64(mean))
+				low, high := time.Duration((1-askedJitter)*float64(mean)), time.Duration((1+askedJitter)*float64(mean))
 				if wait < low || wait > high+1 {
 					t.Errorf("%d gateways: the %s wait is %v, want %v to %v", tier.gateways, what, wait, low, high)
 				}
@@ -166,7 +264,7 @@
 // anything: that is a failure like any other.
 func TestWatchThatTellsNothingKeepsTheBackoff(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), 1, func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
 	d.retry.InitialInterval, d.retry.MaxInterval = time.Millisecond, time.Hour
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -181,7 +279,7 @@
 	wait(t, "the fifth watch", f.watched) // four waits: 1, 2, 4 and 8 ms
 	cancel()
 	wait(t, "the end", ended)
-	if next, least := d.retry.NextBackOff(), time.Duration((1-retryJitter)*float64(16*time.Millisecond)); next < least {
+	if next, least := d.retry.NextBackOff(), time.Duration((1-askedJitter)*float64(16*time.Millisecond)); next < least {
 		t.Errorf("the next wait is %v, want at least %v", next, least)
 	}
 }
@@ -240,7 +338,7 @@
 // What the old address tells after the new one's list is out of date.
 func TestLinesOfAnAddressLeftAreDropped(t *testing.T) {
 	got := make(chan int64, 10)
-	s := newSources(1, func(l memberList) { got <- l.Revision })
+	s := newSources(asked(1, 0), func(l memberList) { got <- l.Revision })
 	defer s.close()
 	old, next := &source{func() {}}, &source{func() {}}
 	s.next = old
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -50,7 +50,7 @@
 	}
 	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
-		sources: newSources(cfg.Choice.Gateways, func(m memberList) {
+		sources: newSources(cfg.pace(), func(m memberList) {
 			kind := choice.Delta
 			if m.Complete {
 				kind = choice.Full
