Read lists of a watch that stand on several lines

At fault: watch, which scanned lines.

Mend: a JSON decoder reads the stream; a reader before it tells empty lines and the start of a list apart from what lies inside one. Only the former count as words, so a list that stops in its middle or keeps coming without an end is a silence.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -313,26 +312,66 @@
 		return revision, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, maxWord)
-	for lines.Scan() {
+	words := &words{from: resp.Body, spoken: func() {
 		// An overbooked service may take a watch and break it before its first
-		// line, so only a line ends the backoff.
+		// word, so only a word ends the backoff.
 		d.report(ctx, nil)
 		d.retry.Reset()
 		d.heard = time.Now()
 		alarm.Reset(d.silence)
-		l := memberList{Revision: revision} // an empty line: nothing has changed
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if err := json.Unmarshal(line, &l); err != nil {
-				return revision, fmt.Errorf("discovery: watch: %w", err)
-			}
+	}}
+	words.empty = func() {
+		d.deliver(memberList{Revision: revision}) // nothing has changed
+		told()
+	}
+	lists := json.NewDecoder(words)
+	for {
+		l := memberList{Revision: revision}
+		if err := lists.Decode(&l); err != nil {
+			return revision, fmt.Errorf("discovery: watch: %w", cmp.Or(context.Cause(ctx), err))
 		}
+		words.spoken()
+		words.next(lists.Buffered())
 		revision = l.Revision
 		d.deliver(l)
 		told()
 	}
-	return revision, cmp.Or(context.Cause(ctx), lines.Err())
 }
 
 var errSilence = errors.New("no word came in time")
+
+// words reads a watch: lists, each on a line or on several, and empty lines
+// between them. Only an empty line, or the start of a list, is a word of the
+// other side: a list that has begun and goes on for ever, or stops in its
+// middle, is a silence like any other.
+type words struct {
+	from   io.Reader
+	spoken func() // a word has come
+	empty  func() // it was an empty line
+	inside bool   // a list has begun
+	size   int    // bytes of it
+}
+
+// next tells that a list is whole. What came behind it may begin another.
+func (w *words) next(behind io.Reader) {
+	rest, _ := io.ReadAll(behind)
+	w.inside, w.size = len(bytes.TrimSpace(rest)) > 0, len(rest)
+}
+
+func (w *words) Read(p []byte) (int, error) {
+	n, err := w.from.Read(p)
+	switch text := p[:n]; {
+	case w.inside:
+	case len(bytes.TrimSpace(text)) > 0:
+		w.inside = true
+		w.spoken()
+	case bytes.IndexByte(text, '\n') >= 0:
+		w.spoken()
+		w.empty()
+		return n, err
+	}
+	if w.size += n; w.size > maxWord {
+		return n, errTooLong
+	}
+	return n, err
+}
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -128,6 +128,80 @@
 	idle(t, "a second watch", f.watched)
 }
 
+// A list may come indented, over several lines and in several parts.
+func TestIndentedListsAreFollowed(t *testing.T) {
+	f := newFakeDiscovery(t)
+	got := make(chan memberList, 10)
+	d := newDiscovery(f.Listener.Addr().String(), pushed(time.Hour), func(l memberList) { got <- l })
+	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	wait(t, "a watch", f.watched)
+	for _, text := range []string{"{", `  "revision": 8,`, `  "complete": false,`, `  "members": [`,
+		`    {"id": "b",`, "", `     "phase": "DRAINING"}`, "  ]", `} {"revision":9,"complete":false,`, `"members":[]}`} {
+		f.lines <- text
+	}
+	if l := wait(t, "the change", got); l.Revision != 8 || len(l.Members) != 1 || l.Members[0] != (member{ID: "b", Phase: phaseDraining}) {
+		t.Errorf("the change is %+v", l)
+	}
+	if l := wait(t, "the change behind it", got); l.Revision != 9 || l.Complete {
+		t.Errorf("the next change is %+v", l)
+	}
+	f.lines <- ""
+	for l := range got { // the end of the last line may count as an empty one
+		if l.Revision != 9 || len(l.Members) != 0 {
+			t.Errorf("an empty line tells %+v", l)
+		}
+		break
+	}
+	idle(t, "a second watch", f.watched)
+}
+
+// A watch may fall silent anywhere: what keeps coming inside a list that has
+// begun is not a word.
+func TestWatchThatStopsInsideAListIsBegunAnew(t *testing.T) {
+	f := newFakeDiscovery(t)
+	p := pushed(time.Hour)
+	p.silence, p.first, p.longest = 50*time.Millisecond, time.Millisecond, time.Millisecond
+	d := newDiscovery(f.Listener.Addr().String(), p, func(l memberList) {
+		if l.Revision != 5 || len(l.Members) > 0 {
+			t.Errorf("half a list is handed on: %+v", l)
+		}
+	})
+	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	wait(t, "a watch", f.watched)
+	f.lines <- ""
+	f.lines <- `{"revision":8,"complete":true,"members":[`
+	for again := false; !again; {
+		select {
+		case f.lines <- "":
+		case index := <-f.watched:
+			if again = true; index != "5" {
+				t.Errorf("the next watch begins at %s, want 5", index)
+			}
+		}
+	}
+}
+
+// What can't be read is dropped, and the watch goes on from the last list.
+func TestSpoiltListIsDroppedAndTheWatchBegunAnew(t *testing.T) {
+	f := newFakeDiscovery(t)
+	got := make(chan memberList, 10)
+	p := pushed(time.Hour)
+	p.first, p.longest = time.Millisecond, time.Millisecond
+	d := newDiscovery(f.Listener.Addr().String(), p, func(l memberList) { got <- l })
+	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	for _, spoilt := range []string{"noise", "}", `{"revision":"x"}`, `{"revision":8,"members":{}}`, `[{}]`, `{"members":[{"id":5}]}`} {
+		if index := wait(t, "a watch", f.watched); index != "5" {
+			t.Errorf("the watch begins at %s, want 5", index)
+		}
+		f.lines <- spoilt
+	}
+	wait(t, "the last watch", f.watched)
+	f.lines <- `{"revision":6,"complete":false,"members":[]}`
+	if l := wait(t, "the first list that can be read", got); l.Revision != 6 {
+		t.Errorf("%+v is handed on", l)
+	}
+}
+
 // A service that accepts a call and never answers it, or answers with its
 // headers alone, is called again.
 func TestSilentCallIsMadeAgain(t *testing.T) {
