Send nothing on for a request that is over

Checked and ruled out: a further attempt after the client's end (Gone marks the request over, and again is not reached).

At fault: conn.send, which looks at aborted and stopped alone, and dial, whose context only an abort ends.

Mend: the loop withdraws all attempts of a request as it ends. What is not written never goes out and ends as moot, which says nothing of the backend; what is out goes on, for to call it off is the gateway's decision.

Tests: a dial held until the client has gone; it fails without the mend.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -225,6 +225,7 @@
 
 	mu      sync.Mutex
 	aborted bool
+	moot    bool               // its request is over: what is not written must not go out
 	cancel  context.CancelFunc // ends its dial
 	conn    *conn              // on which it is out
 }
@@ -244,6 +245,28 @@
 	}
 }
 
+// withdraw tells that the attempt's request is over. What is out stays out, for
+// that is the gateway's to decide; but what still waits for its connection
+// would be work that nobody waits for.
+func (a *attempt) withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.moot = true
+	if a.conn == nil && a.cancel != nil {
+		a.cancel()
+	}
+}
+
+// unsent is the outcome of an attempt that was not written whole.
+func (a *attempt) unsent() choice.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.moot {
+		return choice.Moot // it says nothing of the backend
+	}
+	return choice.ConnectFailed
+}
+
 // run carries the attempt out on c, or on a new connection.
 func (a *attempt) run(c *conn) {
 	if c != nil && c.send(a) {
@@ -251,7 +274,7 @@
 	}
 	nc, err := a.dial()
 	if err != nil {
-		a.end(reply{status: choice.ConnectFailed}, nil)
+		a.end(reply{status: a.unsent()}, nil)
 		return
 	}
 	a.carry(&conn{nc: nc, to: a.to, pool: a.pool})
@@ -262,7 +285,7 @@
 func (a *attempt) carry(c *conn) {
 	if !c.send(a) {
 		c.close()
-		a.end(reply{status: choice.ConnectFailed}, nil)
+		a.end(reply{status: a.unsent()}, nil)
 		return
 	}
 	c.read()
@@ -282,7 +305,7 @@
 	defer cancel()
 	a.mu.Lock()
 	a.cancel = cancel
-	if a.aborted {
+	if a.aborted || a.moot {
 		cancel()
 	}
 	a.mu.Unlock()
@@ -337,8 +360,9 @@
 	defer close(a.wrote)
 	a.mu.Lock()
 	// The last look before the first byte: a backend that was told to drain
-	// while the attempt waited for its connection must get nothing new.
-	if a.aborted || a.to.stopped.Load() {
+	// while the attempt waited for its connection must get nothing new, and
+	// none gets what is for nobody any more.
+	if a.aborted || a.moot || a.to.stopped.Load() {
 		a.mu.Unlock()
 		c.retire()
 		return true
@@ -433,7 +457,10 @@
 			}
 			continue
 		}
-		status := a.broken(err)
+		status := a.unsent()
+		if a.whole {
+			status = a.broken(err)
+		}
 		if status == choice.OK {
 			if c.stalls == 0 {
 				continue
@@ -454,14 +481,13 @@
 	}
 }
 
-// broken tells what the end of its connection makes of an attempt. OK means
-// that it goes on: the deadline of the idle connection passed just before.
+// broken tells what the end of its connection makes of an attempt that was
+// written whole. OK means that it goes on: the deadline of the idle connection
+// passed just before.
 func (a *attempt) broken(err error) choice.Status {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case !a.whole:
-		return choice.ConnectFailed // the last byte was not written: it never ran
 	case a.aborted:
 		return choice.Cancelled
 	case errors.Is(err, errMalformed), errors.Is(err, errTooLong):
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -349,6 +349,61 @@
 	b.want(t, choice.ConnectFailed)
 }
 
+// Where the settings allow no cancels, a request whose client has left while a
+// connection was coming up goes nowhere all the same.
+func TestNothingIsSentOnForAClientThatLeft(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Cancelling, cfg.Choice.Probing = false, false }, b.member("b"))
+	dials, up := make(chan struct{}, 10), make(chan struct{})
+	r.ask(func(l *loop) {
+		l.pool.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+			dials <- struct{}{}
+			select {
+			case <-up:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	})
+	c := r.dial()
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	wait(t, "a dial", dials)
+	c.nc.Close()
+	r.eventually("the request to be over", func(l *loop) bool {
+		for _, q := range l.requests {
+			return q.over
+		}
+		return true
+	})
+	close(up) // only now does the connection come up
+	r.eventually("the request to be forgotten", func(l *loop) bool { return len(l.requests) == 0 })
+	idle(t, "a request sent on", b.got)
+}
+
+func TestAttemptOfARequestThatIsOver(t *testing.T) {
+	b := newBench(t)
+	a := b.attempt(t)
+	a.withdraw() // while it waited for its connection
+	b.send(a)
+	go b.read()
+	b.want(t, choice.Moot)
+	b.wantNothing(t)
+
+	a = b.attempt(t)
+	a.withdraw()
+	a.run(nil)
+	b.want(t, choice.Moot)
+
+	b = newBench(t)
+	a = b.attempt(t)
+	b.send(a)
+	a.withdraw() // one that is out goes on
+	go b.read()
+	fmt.Fprint(b.far, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	b.want(t, choice.OK)
+}
+
 // shortConn loses its peer before the last byte.
 type shortConn struct{ net.Conn }
 
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -161,7 +161,7 @@
 func (l *loop) gone(c *client) {
 	for _, r := range c.abandoned() {
 		if !r.over {
-			r.over = true
+			l.end(r)
 			if len(r.attempts) == 0 {
 				l.ids.remove(r.name) // nothing was sent on: it may come again
 			}
@@ -202,10 +202,19 @@
 	if r == nil || r.over {
 		return
 	}
-	r.over = true
+	l.end(r)
 	r.from.fill(r.slot, data)
 }
 
+// end marks a request as over. Whether what is out for it is called off is the
+// gateway's to decide; what is not yet written goes out no more.
+func (l *loop) end(r *request) {
+	r.over = true
+	for _, a := range r.attempts {
+		a.withdraw()
+	}
+}
+
 // members takes a list of backends from discovery.
 func (l *loop) members(kind choice.ListKind, list memberList) {
 	backends := make([]choice.Backend, 0, len(list.Members))
