Let the tests' discovery speak at once, as an agent does

Its watches said nothing until a test fed them, so at the pace of pushed lists they were opened anew within the tests, and a line could go to one just given up. Failing tests also hung in its Close. A test that wants silence still has it.

--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -389,6 +389,7 @@
 	r.eventually("a change at the old address", func(l *loop) bool { return len(l.pool.byName) == 2 })
 
 	next := newFakeDiscovery(t, one.member("1"))
+	next.agent.Store(true)
 	close(next.gate)
 	for range 2 { // also to where it is
 		r.server.Reload(Config{Discovery: next.Listener.Addr().String()})
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,29 +121,43 @@
 	lines   chan string   // the next lines of the watch now open
 	watched chan string   // the index from which each watch began
 	gate    chan struct{} // closed when the list may be told
+	done    chan struct{} // closed at the end of the test
+	agent   atomic.Bool   // a watch says at once, and again and again, that nothing has changed
 	mu      sync.Mutex
 	list    memberList
 }
 
 func newFakeDiscovery(t *testing.T, members ...member) *fakeDiscovery {
 	d := &fakeDiscovery{lines: make(chan string), watched: make(chan string, 100), gate: make(chan struct{}),
-		list: memberList{Revision: 7, Complete: true, Members: members}}
+		done: make(chan struct{}), list: memberList{Revision: 7, Complete: true, Members: members}}
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("stream") == "" {
 			select {
 			case <-d.gate:
 			case <-r.Context().Done():
 				return
+			case <-d.done:
+				return
 			}
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			json.NewEncoder(w).Encode(d.list)
 			return
 		}
+		var nothing <-chan time.Time
+		if d.agent.Load() {
+			ticks := time.NewTicker(keepalive / 2)
+			defer ticks.Stop()
+			nothing = ticks.C
+			io.WriteString(w, "\n")
+		}
 		w.(http.Flusher).Flush()
 		d.watched <- r.URL.Query().Get("index")
 		for {
 			select {
+			case <-nothing:
+				io.WriteString(w, "\n")
+				w.(http.Flusher).Flush()
 			case line := <-d.lines:
 				if line == "end" {
 					return
@@ -151,10 +166,12 @@
 				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
 				return
+			case <-d.done:
+				return
 			}
 		}
 	}))
-	t.Cleanup(func() { d.CloseClientConnections(); d.Close() })
+	t.Cleanup(func() { close(d.done); d.CloseClientConnections(); d.Close() })
 	return d
 }
 
@@ -188,6 +205,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.agent.Store(true)
 	cfg.Discovery = d.Listener.Addr().String()
 	if change != nil {
 		change(&cfg)
