Let the reader alone decide when a client's connection ends

Checked by tests on real connections, each of which failed before: - a command just read when evict marked the connection was dropped by push, as not read, and its client got a close with no answer; - after the half-close of a drained connection the linger read up to 64 KB, a request that crossed among them: read, and never answered; - a reader that waited for a place (push), or for the last answers (finish), did not see its client leave, so the requests stayed open and were tried again. The pause after wrong commands (up to 0.35 s) was ruled out as a loss of its own, but goes the same way.

At fault: two goroutines, and the server, decided that a connection ends (closing, set by evict and write), and the reader blocked in push.

Mend: drain and evict only nudge the reader, which looks up between reads: with nothing read and nothing due it ends. While no command may be started it reads on into its bounded buffer. At the end it watches, and takes nothing off the connection. TestCommandAtTheEndLeavesTheLastAnswerItsTime set the flag by hand that let two goroutines end a connection; the two tests in its place ask that the crossing command stays unread and that the last answer arrives.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -14,13 +14,12 @@
 
 const (
 	writeTimeout  = 5 * time.Second         // a client that does not read its answers
-	lingerTime    = 200 * time.Millisecond  // to read what crosses the end of a connection
-	lingerBytes   = 64 << 10                // and so much of it
+	lingerTime    = 200 * time.Millisecond  // for the last answers to arrive before the connection closes
 	mostPending   = 128                     // open requests on one connection
 	firstPatience = 2200 * time.Millisecond // for the first command on a connection
 	halfPatience  = 2 * time.Second         // for the rest of one that has begun
 	mostWrong     = 8                       // wrong commands after which a connection ends
-	wrongPause    = 50 * time.Millisecond   // before the answer to the second one, and each further one
+	wrongPause    = 50 * time.Millisecond   // behind the second one and each further one, without a further command
 )
 
 var (
@@ -41,12 +40,16 @@
 
 // client is a client's connection. A reader takes commands off it and starts
 // them at once; a writer sends the answers in the order of the commands.
+//
+// The reader alone decides that the connection ends. Whatever it has read it
+// answers, and what comes after that decision stays unread: the client then
+// knows that nobody has taken it, and sends it elsewhere.
 type client struct {
 	server  *Server
 	nc      net.Conn
 	opened  time.Time
 	wake    chan struct{} // the writer has something to do
-	space   chan struct{} // the reader may go on
+	space   chan struct{} // a place for an answer has become free
 	written chan struct{} // closed when the writer has ended
 	wrong   atomic.Int32  // wrong commands so far
 
@@ -55,10 +58,13 @@
 	used    time.Time
 	writing bool // the writer runs, or has run
 	asked   bool // has sent a request that could be taken
+	heard   bool // has sent a whole command
 	sending bool // the writer has answers that it has not written yet
-	evicted bool // closed to make room
-	closing bool // takes no further command, and ends when all is answered
+	full    bool // the reader waits for a place
+	evicted bool // to be closed to make room, if it is still idle
 	drained bool // closes between requests
+	halted  bool // takes no further command if it has sent one
+	closing bool // takes no further command, and ends when all is answered
 	gone    bool
 }
 
@@ -97,24 +103,29 @@
 		least = idleLeast
 	}
 	return standing{c.asked, c.used},
-		len(c.pending) == 0 && !c.sending && !c.closing && !c.drained && now.Sub(c.used) >= least
+		len(c.pending) == 0 && !c.sending && !c.closing && !c.drained && !c.evicted && now.Sub(c.used) >= least
+}
+
+// nudge makes the reader look up from what it waits for. c.mu is held.
+func (c *client) nudge() {
+	c.nc.SetReadDeadline(longAgo)
 }
 
-// evict closes the connection at once. A command that crosses this counts as
-// not read, and the client sends it elsewhere.
+// evict closes the connection at once, unless a command has come just now.
 func (c *client) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evicted, c.closing = true, true
-	c.nc.SetReadDeadline(longAgo)
+	c.evicted = true
+	c.nudge()
 }
 
-func (c *client) drain() {
+// drain closes the connection between requests. Once halted it takes no further
+// one, but for the first on a new connection.
+func (c *client) drain(halt bool) {
 	c.mu.Lock()
-	c.drained = true
-	c.startWriter()
-	c.mu.Unlock()
-	notify(c.wake)
+	defer c.mu.Unlock()
+	c.drained, c.halted = true, c.halted || halt
+	c.nudge()
 }
 
 // startWriter starts the writer with the first that it has to do: most
@@ -142,23 +153,17 @@
 	}
 }
 
-// push appends a slot. It returns false if the connection takes no more: the
-// command counts as not read, and the client sends it elsewhere.
-func (c *client) push(s *slot) bool {
-	for {
-		c.mu.Lock()
-		full := len(c.pending) >= mostPending && !c.gone
-		closing := c.closing
-		if !full && !closing {
-			c.pending = append(c.pending, s)
-			c.asked = c.asked || s.request != nil
-			c.startWriter()
-		}
-		c.mu.Unlock()
-		if !full || closing {
-			return !closing
-		}
-		<-c.space
+// push appends a slot. The reader has seen to it that there is a place.
+func (c *client) push(s *slot) {
+	c.mu.Lock()
+	c.pending = append(c.pending, s)
+	c.asked, c.heard = c.asked || s.request != nil, true
+	c.startWriter()
+	stays := c.evicted
+	c.evicted = false
+	c.mu.Unlock()
+	if stays {
+		c.server.stays()
 	}
 }
 
@@ -194,61 +199,123 @@
 }
 
 // finish lets the writer send the answers still due: a connection that closes
-// under them loses requests. What the client sends meanwhile is not read, and
-// hardly after: at full speed it would cost the others their CPU.
+// under them loses requests. It returns sooner if the client leaves.
 func (c *client) finish() {
 	c.mu.Lock()
 	c.closing = true
 	due := c.writing && !c.evicted
+	c.nc.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
-	if due {
-		notify(c.wake)
-		<-c.written
-		io.CopyN(io.Discard, c.nc, lingerBytes)
+	if !due {
+		return
 	}
+	notify(c.wake)
+	if left := c.watch(); left {
+		return
+	}
+	<-c.written
+	// What crosses the end turns it into a reset, which must not overtake the
+	// last answers.
+	end := time.Now().Add(lingerTime)
+	c.nc.SetReadDeadline(end)
+	if left := c.watch(); !left {
+		time.Sleep(time.Until(end))
+	}
+}
+
+// watch waits until the client leaves, or sends something, or the deadline has
+// passed. It takes nothing off the connection.
+func (c *client) watch() (left bool) {
+	raw, err := c.nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var first [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = n == 0 || n < 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		return n > 0 || left
+	})
+	return left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// input is what the reader has read and not started yet.
+type input struct {
+	buf  []byte
+	at   time.Time // when the last of it came
+	rest time.Time // by when what has begun has to be whole; zero: nothing has
+	hold time.Time // no command is started before
 }
 
-// take starts the commands as they come.
+// take starts the commands as they come. While none may be started it reads on,
+// as far as there is room: a client that leaves meanwhile must be noticed.
 func (c *client) take() error {
-	buf := make([]byte, 0, readBuffer)
-	defer func() { c.server.loop.memory.give(cap(buf) - readBuffer) }()
+	in := input{buf: make([]byte, 0, readBuffer), rest: c.opened.Add(firstPatience)}
 	// A client that says nothing, or half a command and no more, would keep
 	// its descriptor for good.
-	c.await(c.opened.Add(firstPatience))
-	timed := true
+	defer func() { c.server.loop.memory.give(cap(in.buf) - readBuffer) }()
 	for {
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && !c.ends():
-			if len(buf) > 0 {
-				return errHalf
-			}
-			return errSilent
-		case err != nil:
-			return errLeft
-		}
-		at := time.Now()
-		buf = buf[:len(buf)+n]
-		rest, err := c.commands(buf, at)
+		held, err := c.commands(&in)
 		if err != nil {
 			return err
 		}
-		switch half := len(rest) > 0; {
-		case half && (!timed || len(rest) < len(buf)):
-			c.await(at.Add(halfPatience))
-			timed = true
-		case !half && timed:
-			c.await(time.Time{})
-			timed = false
+		if c.ends(&in, held) {
+			return errEnds
 		}
-		if buf, err = c.refit(buf, rest); err != nil {
-			return err
+		if len(in.buf) == cap(in.buf) {
+			c.stand(&in)
+			continue
+		}
+		n, err := c.nc.Read(in.buf[len(in.buf):cap(in.buf)])
+		now := time.Now()
+		switch {
+		case n > 0:
+			in.buf, in.at = in.buf[:len(in.buf)+n], now
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return errLeft
+		case in.rest.IsZero() || now.Before(in.rest):
+		case len(in.buf) > 0:
+			return errHalf
+		default:
+			return errSilent
 		}
 	}
 }
 
-// refit makes a buffer of what is left of buf, with room to read on.
-func (c *client) refit(buf, rest []byte) ([]byte, error) {
+// ends tells whether the connection is over for the reader, and otherwise how
+// long it may wait for more. held tells that no command may be started now.
+func (c *client) ends(in *input, held bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := len(c.pending) == 0 && !c.sending
+	switch {
+	case held:
+	case idle && c.evicted:
+		return true
+	case !c.heard || len(in.buf) > 0: // what a new connection is opened for is still to come
+	case c.halted, idle && c.drained:
+		return true
+	}
+	until := in.rest
+	if held && (until.IsZero() || in.hold.Before(until)) {
+		until = in.hold
+	}
+	c.nc.SetReadDeadline(until)
+	return false
+}
+
+// stand waits with a full buffer, until a command may be started again.
+func (c *client) stand(in *input) {
+	if wait := time.Until(in.hold); wait > 0 {
+		time.Sleep(wait)
+		return
+	}
+	<-c.space
+}
+
+// refit makes a buffer of what is left of buf, with room to read on, unless
+// what is left may not be started yet and there is no memory for more.
+func (c *client) refit(buf, rest []byte, held bool) ([]byte, error) {
 	memory := c.server.loop.memory
 	switch {
 	case len(rest) == 0 && cap(buf) > readBuffer:
@@ -256,90 +323,109 @@
 		return make([]byte, 0, readBuffer), nil
 	case len(rest) == cap(buf):
 		size := min(2*cap(buf), maxMessage+readBuffer)
-		if !memory.take(size - cap(buf)) {
-			return buf, errNoMemory
+		switch {
+		case size > cap(buf) && memory.take(size-cap(buf)):
+			return append(make([]byte, 0, size), rest...), nil
+		case held:
+			return buf, nil
 		}
-		return append(make([]byte, 0, size), rest...), nil
+		return buf, errNoMemory
 	}
 	return buf[:copy(buf[:cap(buf)], rest)], nil
 }
 
-// await lets the reader wait until then; the end of the connection goes before.
-func (c *client) await(until time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.closing {
-		c.nc.SetReadDeadline(until)
-	}
-}
-
-func (c *client) ends() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
-// commands starts all whole commands in buf and returns what is left.
-func (c *client) commands(buf []byte, at time.Time) (rest []byte, err error) {
+// commands starts all whole commands that may be started, keeps what is left
+// of the input, and makes room to read on. held tells that more may be whole.
+func (c *client) commands(in *input) (held bool, err error) {
+	buf := in.buf
 	for len(buf) > 0 {
+		var gone bool
+		if held, gone = c.barred(in); gone {
+			return false, errLeft
+		}
+		if held {
+			break
+		}
 		args, n, err := nextCommand(buf)
-		if err != nil || n == 0 {
-			return buf, err
+		if err != nil {
+			return false, err
+		}
+		if n == 0 {
+			break
 		}
 		buf = buf[n:]
 		if len(args) == 0 { // an empty array asks for nothing
 			continue
 		}
-		wrong, ok := c.command(args, n, at)
-		if !ok {
-			return nil, errEnds
-		}
+		wrong := c.command(args, n, in.at)
 		if wrong == nil {
 			continue
 		}
 		// Bounded for each connection, so that who sends nonsense as fast as
 		// it is turned away leaves the CPU to the others.
-		switch n := c.wrong.Add(1); {
-		case n >= mostWrong:
-			return nil, errWrong
-		case n > 1:
-			time.Sleep(wrongPause)
+		times := c.wrong.Add(1)
+		if times >= mostWrong {
+			return false, errWrong
 		}
-		if !c.refuse(wrong) {
-			return nil, errEnds
+		c.refuse(wrong)
+		if times > 1 {
+			in.hold = time.Now().Add(wrongPause)
 		}
 	}
-	return nil, nil
+	switch begun := len(buf) > 0 && !held; {
+	case begun && (in.rest.IsZero() || len(buf) < len(in.buf)):
+		in.rest = time.Now().Add(halfPatience)
+	case !begun && c.known():
+		in.rest = time.Time{}
+	}
+	in.buf, err = c.refit(in.buf, buf, held)
+	return held, err
+}
+
+// barred tells that no command may be started now: wrong ones have come before,
+// or there is no place for one more answer. Then the writer wakes the reader
+// when there is.
+func (c *client) barred(in *input) (held, gone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full = len(c.pending) >= mostPending
+	return c.full || !in.hold.IsZero() && time.Now().Before(in.hold), c.gone
+}
+
+// known tells whether the client has sent a whole command.
+func (c *client) known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard
 }
 
-// command starts a command. It tells what is wrong with it, and whether the
-// connection takes it: otherwise it counts as not read.
-func (c *client) command(args [][]byte, size int, at time.Time) (wrong error, ok bool) {
+// command starts a command, or tells what is wrong with it.
+func (c *client) command(args [][]byte, size int, at time.Time) (wrong error) {
 	if equalFold(args[0], "PING") {
 		if !c.server.loop.ready.Load() {
-			return nil, c.reply(redcon.AppendError(nil, "ERR no backend is known"))
+			c.reply(redcon.AppendError(nil, "ERR no backend is known"))
+		} else {
+			c.reply(redcon.AppendString(nil, "PONG"))
 		}
-		return nil, c.reply(redcon.AppendString(nil, "PONG"))
+		return nil
 	}
 	cmd, err := c.server.cfg.parseCommand(args)
 	if err != nil {
-		return err, true
+		return err
 	}
 	memory := c.server.loop.memory
 	if !memory.take(size) {
 		// Nothing has run; holding more would end the whole process.
-		return nil, c.reply(redcon.AppendError(nil, "BUSY"))
+		c.reply(redcon.AppendError(nil, "BUSY"))
+		return nil
 	}
 	cmd.args = own(args, size)
 	limit := min(cmd.limit, c.server.cfg.Choice.Classes[cmd.class].Deadline)
 	r := &request{command: cmd, size: size, from: c, deadline: at.Add(limit - min(answerMargin, limit/marginPart))}
 	r.slot = &slot{request: r}
-	if !c.push(r.slot) {
-		memory.give(size)
-		return nil, false
-	}
+	c.push(r.slot)
 	c.server.loop.post(func(l *loop) { l.request(r) })
-	return nil, true
+	return nil
 }
 
 // own copies the parts out of the read buffer.
@@ -353,17 +439,14 @@
 	return args
 }
 
-func (c *client) reply(data []byte) bool {
-	if !c.push(&slot{data: data, filled: true}) {
-		return false
-	}
+func (c *client) reply(data []byte) {
+	c.push(&slot{data: data, filled: true})
 	c.server.loop.memory.force(len(data))
 	notify(c.wake)
-	return true
 }
 
 // refuse answers what is no valid request.
-func (c *client) refuse(err error) bool { return c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
+func (c *client) refuse(err error) { c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
 
 // write sends the answers in order.
 func (c *client) write() {
@@ -384,7 +467,10 @@
 		empty := len(c.pending) == 0
 		if empty {
 			c.pending = nil
-			c.closing = c.closing || c.drained
+		}
+		if c.sending && c.full {
+			c.full = false
+			c.nudge()
 		}
 		last, gone := empty && c.closing, c.gone
 		c.mu.Unlock()
@@ -399,6 +485,9 @@
 			c.server.loop.memory.give(len(out))
 			c.mu.Lock()
 			c.sending, c.gone = false, c.gone || err != nil
+			if (c.drained || c.evicted) && len(c.pending) == 0 && !c.closing {
+				c.nudge() // the connection may be between requests
+			}
 			c.mu.Unlock()
 			if err != nil {
 				c.nc.Close() // the reader notices
@@ -410,10 +499,8 @@
 			}
 		}
 		if last {
-			// The reader goes on for a moment, so that what the client sends
-			// meanwhile does not turn the end into a reset that eats answers.
 			c.nc.(*net.TCPConn).CloseWrite()
-			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+			c.nc.SetReadDeadline(longAgo) // wakes the reader
 			return
 		}
 	}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -315,27 +316,158 @@
 	c.want("$1\r\nw")
 }
 
-// A command that crosses the end of a drained connection must not close it
-// under the answer that the writer is about to send.
-func TestCommandAtTheEndLeavesTheLastAnswerItsTime(t *testing.T) {
+// unread takes what is left unread of a connection.
+func unread(t *testing.T, nc net.Conn, least int) string {
+	t.Helper()
+	nc.SetReadDeadline(time.Now().Add(patience))
+	buf := make([]byte, 1000)
+	n, err := io.ReadAtLeast(nc, buf, least)
+	if err != nil {
+		t.Errorf("of what came %d bytes are unread, %v", n, err)
+	}
+	return string(buf[:n])
+}
+
+// A command that has been read just as its connection is to make room for
+// another has been taken: the client would not send it again.
+func TestCommandReadBeforeAnEvictionIsAnswered(t *testing.T) {
 	r := newRig(t, nil, newBackend(t).member("b"))
 	b := newBench(t)
 	c := newClient(r.server, b.nc)
-	c.writing, c.closing = true, true // the test stands in for the writer
+	in := input{buf: []byte(encode("PING")), at: time.Now()} // what the reader has read
+	r.server.mu.Lock()
+	c.evict()
+	r.server.leaving++
+	r.server.mu.Unlock()
+	if _, err := c.commands(&in); err != nil || c.ends(&in, false) {
+		t.Errorf("the connection ends, %v", err)
+	}
+	if got := unread(t, b.far, len("+PONG\r\n")); got != "+PONG\r\n" {
+		t.Errorf("the client gets %q", got)
+	}
+	r.server.mu.Lock()
+	if r.server.leaving != 0 {
+		t.Error("the connection still counts as leaving")
+	}
+	r.server.mu.Unlock()
 	go c.read()
-	fmt.Fprint(b.far, encode("PING"))
-	wait(t, "the reader to wake the writer", c.wake)
-	c.mu.Lock()
-	if c.gone {
-		t.Error("the connection closes before its last answer")
-	}
-	c.mu.Unlock()
-	fmt.Fprint(c.nc, "+last\r\n")
-	c.nc.(*net.TCPConn).CloseWrite()
-	c.nc.SetReadDeadline(longAgo)
-	close(c.written)
-	if got, err := io.ReadAll(b.far); string(got) != "+last\r\n" {
-		t.Errorf("the client gets %q, %v", got, err)
+	fmt.Fprint(b.far, encode("PING")) // it goes on
+	unread(t, b.far, len("+PONG\r\n"))
+	c.evict() // idle now, it is closed
+	if got, err := io.ReadAll(b.far); len(got) > 0 || err != nil {
+		t.Errorf("the client gets %q, %v; want the end", got, err)
+	}
+}
+
+// A command that crosses the end of its connection is not read: the client
+// then sends it elsewhere. Neither does it cost the answer before it.
+func TestCommandThatCrossesTheEndStaysUnread(t *testing.T) {
+	for name, halt := range map[string]bool{"drained": false, "halted": true} {
+		r := newRig(t, nil, newBackend(t).member("b"))
+		b := newBench(t)
+		c := newClient(r.server, b.nc)
+		c.reply([]byte("+last\r\n"))
+		if got := unread(t, b.far, len("+last\r\n")); got != "+last\r\n" {
+			t.Errorf("%s: the client gets %q", name, got)
+		}
+		r.eventually("the writer to be done", func(*loop) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return !c.sending
+		})
+		c.drain(halt)
+		late := encode("PING")
+		fmt.Fprint(b.far, late)
+		for b.quiet() { // until it has come
+			time.Sleep(time.Millisecond)
+		}
+		if err := c.take(); !errors.Is(err, errEnds) {
+			t.Errorf("%s: the reader ends with %v", name, err)
+		}
+		c.finish()
+		if got := unread(t, b.nc, len(late)); got != late {
+			t.Errorf("%s: %q is left unread", name, got)
+		}
+		if got, err := io.ReadAll(b.far); len(got) > 0 || err != nil {
+			t.Errorf("%s: the client gets %q, %v; want the end", name, got, err)
+		}
+	}
+}
+
+// patient makes a rig whose clients wait for longer than any test.
+func patient(t *testing.T, b *fakeBackend) (r *rig, long string) {
+	r = newRig(t, func(cfg *Config) {
+		cfg.Choice.Probing = false
+		for i := range cfg.Choice.Classes {
+			cfg.Choice.Classes[i].Deadline = time.Hour
+		}
+	}, b.member("b"))
+	return r, strings.Replace(payment, "d=20000", "d=3600000", 1)
+}
+
+// Whatever the reader waits for, a client that leaves is noticed at once: what
+// is open for it ends, and nothing more is started.
+func TestLeavingClientIsNoticed(t *testing.T) {
+	for name, then := range map[string]func(*rig, *fakeClient, string){
+		"while all places are taken": func(r *rig, c *fakeClient, long string) {
+			var text strings.Builder
+			for range 2 * mostPending {
+				text.WriteString(encode("Q.DO", anyone, newID(), long, "BODY"))
+			}
+			c.write(text.String())
+			r.eventually("the places to be taken", func(*loop) bool {
+				r.server.mu.Lock()
+				defer r.server.mu.Unlock()
+				for c := range r.server.clients {
+					c.mu.Lock()
+					full := c.full
+					c.mu.Unlock()
+					if full {
+						return true
+					}
+				}
+				return false
+			})
+		},
+		"while the last answers are due": func(r *rig, c *fakeClient, _ string) {
+			c.write("nonsense\r\n")
+			r.eventually("the end to be near", func(*loop) bool {
+				r.server.mu.Lock()
+				defer r.server.mu.Unlock()
+				for c := range r.server.clients {
+					c.mu.Lock()
+					closing := c.closing
+					c.mu.Unlock()
+					if closing {
+						return true
+					}
+				}
+				return false
+			})
+		},
+		"after the stop": func(r *rig, _ *fakeClient, _ string) {
+			r.server.late = func() {}
+			r.stop()
+			for addr := r.server.Addr().String(); ; { // until no further client is taken
+				nc, err := net.Dial("tcp", addr)
+				if err != nil {
+					break
+				}
+				nc.Close()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t)
+			r, long := patient(t, b)
+			c := r.dial()
+			c.send("Q.DO", anyone, newID(), long, "BODY")
+			got := wait(t, "the request", b.got)
+			then(r, c, long)
+			c.nc.Close()
+			for wait(t, "the end of the attempt", b.closed) != got.nc { // others may have been sent on as well
+			}
+		})
 	}
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -13,7 +13,6 @@
 
 const (
 	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
-	lastAnswers     = 150 * time.Millisecond // to write what became due last
 	acceptRetry     = 5 * time.Millisecond
 	spareShare      = 16                     // of the places for clients, so many are kept free
 	idleLeast       = 2 * time.Second        // a connection that has asked may be closed when idle for so long
@@ -23,7 +22,7 @@
 // Server is one running ingress.
 type Server struct {
 	cfg  *Config
-	ln   net.Listener
+	ln   *net.TCPListener
 	loop *loop
 	late func() // waits while clients still come after the stop
 
@@ -48,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("clients: %w", err)
 	}
-	return &Server{cfg: &cfg, ln: ln, loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
+	return &Server{cfg: &cfg, ln: ln.(*net.TCPListener), loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
 		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
 		sources: newSources(cfg.pace(), func(m memberList) {
 			kind := choice.Delta
@@ -106,28 +105,29 @@
 	for _, c := range s.cfg.Choice.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	s.drain()
+	s.drain(false)
 	s.late()
 	s.ln.Close()
 	s.mu.Lock()
 	s.stopping = true
 	s.checkEmpty()
 	s.mu.Unlock()
-	s.drain()
+	s.drain(true)
 	select {
 	case <-s.empty:
-	case <-time.After(longest + lastAnswers):
+	case <-time.After(longest + writeTimeout + lingerTime): // by then nothing is owed to anybody who reads
 	}
 	return nil
 }
 
-// drain makes each connection close as soon as it has nothing open.
-func (s *Server) drain() {
+// drain makes each connection close as soon as it has nothing open. With halt
+// set, those that have sent a command take no further one.
+func (s *Server) drain(halt bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
 	for c := range s.clients {
-		c.drain()
+		c.drain(halt)
 	}
 }
 
@@ -201,6 +201,13 @@
 	return true
 }
 
+// stays tells that a connection that was to make room is in use after all.
+func (s *Server) stays() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving--
+}
+
 func (s *Server) remove(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
