Serve the connections that the stop finds in the listener's queue

Checked by a test on real connections: with all places taken, clients that connect wait in the queue. The stop closed the listener over them, and add closed one that was accepted just then, with its request unread: a reset for what the machine had taken.

At fault: Serve, which closes the listener after a fixed time, and add.

Mend: the listener closes once nobody has come for 50 ms, 0.5 s later at most; while it ends there is room for all. Only then do connections stop to take requests.

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -394,6 +394,44 @@
 	}
 }
 
+// A connection in the listener's queue has been accepted by the machine: what
+// its client has written is taken, though the stop finds it there.
+func TestConnectionsInTheQueueAreServedAfterTheStop(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 20, false }, b.member("b"))
+	const places = 11 // of 20 descriptors
+	r.server.late = func() {}
+	var clients []*fakeClient
+	for range places + 5 { // the last ones find no room
+		c := r.dial()
+		c.send("PING")
+		c.send("Q.DO", anyone, newID(), payment, "BODY")
+		clients = append(clients, c)
+	}
+	for _, c := range clients[:places] {
+		c.want("+PONG")
+	}
+	r.stop()
+	for _, c := range clients[places:] {
+		c.want("+PONG")
+	}
+	go func() {
+		for got := range b.got {
+			got.answer("v")
+		}
+	}()
+	for i, c := range clients {
+		if got := c.line(); got != "$1\r\nv" && !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("client %d gets %q", i, got)
+		}
+		c.wantEnd()
+	}
+	close(b.got)
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // patient makes a rig whose clients wait for longer than any test.
 func patient(t *testing.T, b *fakeBackend) (r *rig, long string) {
 	r = newRig(t, func(cfg *Config) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 
 const (
 	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
+	lastCall        = 50 * time.Millisecond  // nobody has come for so long: nobody waits in the listener's queue
+	lastCallMost    = 500 * time.Millisecond // the longest that is waited for this
 	acceptRetry     = 5 * time.Millisecond
 	spareShare      = 16                     // of the places for clients, so many are kept free
 	idleLeast       = 2 * time.Second        // a connection that has asked may be closed when idle for so long
@@ -33,6 +36,7 @@
 	clients  map[*client]struct{}
 	leaving  int           // clients that were closed to make room and are not gone yet
 	draining bool          // connections close between requests
+	ending   bool          // the listener closes as soon as nobody waits in its queue
 	stopping bool          // no further connection is taken
 	empty    chan struct{} // closed when stopping and no client is left
 }
@@ -107,12 +111,12 @@
 	}
 	s.drain(false)
 	s.late()
-	s.ln.Close()
+	s.closeListener(failed)
+	s.drain(true)
 	s.mu.Lock()
 	s.stopping = true
 	s.checkEmpty()
 	s.mu.Unlock()
-	s.drain(true)
 	select {
 	case <-s.empty:
 	case <-time.After(longest + writeTimeout + lingerTime): // by then nothing is owed to anybody who reads
@@ -120,6 +124,23 @@
 	return nil
 }
 
+// closeListener closes the listener once nobody waits in its queue: a
+// connection there has been accepted by the machine, and what its client has
+// written counts as taken. It returns when all of them are served.
+func (s *Server) closeListener(accepted <-chan error) {
+	s.mu.Lock()
+	s.ending = true
+	s.ln.SetDeadline(time.Now().Add(lastCall))
+	s.mu.Unlock()
+	select {
+	case <-accepted:
+		s.ln.Close()
+	case <-time.After(lastCallMost):
+		s.ln.Close()
+		<-accepted
+	}
+}
+
 // drain makes each connection close as soon as it has nothing open. With halt
 // set, those that have sent a command take no further one.
 func (s *Server) drain(halt bool) {
@@ -143,8 +164,13 @@
 
 func (s *Server) accept() error {
 	for {
+		s.mu.Lock()
+		if s.ending {
+			s.ln.SetDeadline(time.Now().Add(lastCall))
+		}
+		s.mu.Unlock()
 		nc, err := s.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil { // out of descriptors, or a connection that broke at once
@@ -156,9 +182,7 @@
 		for !s.room() {
 			time.Sleep(acceptRetry)
 		}
-		if !s.add(nc) {
-			nc.Close()
-		}
+		s.add(nc)
 	}
 }
 
@@ -169,7 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most := s.cfg.Limits.clients()
-	if s.stopping || len(s.clients)-s.leaving < most-most/spareShare {
+	if s.ending || len(s.clients)-s.leaving < most-most/spareShare {
 		return true
 	}
 	var least *client
@@ -188,17 +212,13 @@
 }
 
 // add serves a new connection.
-func (s *Server) add(nc net.Conn) bool {
+func (s *Server) add(nc net.Conn) {
 	c := newClient(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping {
-		return false
-	}
 	c.drained = s.draining // closes after its first answer
 	s.clients[c] = struct{}{}
 	go c.read()
-	return true
 }
 
 // stays tells that a connection that was to make room is in use after all.
