Retire connections to a backend that has started again

Checked by a test on real connections: a backend told of with a fresh start kept its idle connections, which lead to the process before; where its machine vanished they stay open and silent, and a request that can't be repeated is lost on one.

Checked besides, no fault found: put, drop and release against a backend retired or readdressed (the record changes, and put compares records), and one replaced at the same address (sharing).

At fault: pool.member, which took the new start for the same process. Mend: it retires what is idle.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -84,6 +84,11 @@
 		p.byName[m.ID], p.byID[b.id] = moved, moved
 		b = moved
 	}
+	if b.since != m.UpSince {
+		// It has started again. What is left of connections to the process
+		// before may stay open and silent for good.
+		b.retire()
+	}
 	b.since = m.UpSince
 	b.stopped.Store(state != choice.Ready)
 	if state != choice.Ready {
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -432,6 +432,32 @@
 	}
 }
 
+// Connections to a backend that has started again lead to the process before,
+// and where its machine vanished nothing else tells.
+func TestBackendThatStartsAgainGetsNewConnections(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	wait(t, "a watch", r.discovery.watched)
+	c := r.dial()
+	c.send("Q.ASK", anyone, newID(), lookup)
+	first := wait(t, "the request", b.got)
+	first.answer("v")
+	c.want("$1\r\nv")
+	r.rest(1)
+	r.discovery.lines <- fmt.Sprintf(`{"revision":8,"complete":false,"members":[{"id":"b","host_port":%q,"phase":"SERVING","size":1,"up_since_ms":%d}]}`,
+		b.addr, time.Now().UnixMilli())
+	if nc := wait(t, "the end of the connection to the process before", b.closed); nc != first.nc {
+		t.Error("another connection ended")
+	}
+	c.send("Q.DO", anyone, newID(), payment, "BODY")
+	if again := wait(t, "a request after the start", b.got); again.nc == first.nc {
+		t.Error("it is on the connection to the process before")
+	} else {
+		again.answer("w")
+	}
+	c.want("$1\r\nw")
+}
+
 // A new backend may come to the address of one that is gone before discovery
 // tells of that one's end. The two share nothing: neither connections nor warmth.
 func TestBackendAtAnAddressTakenOverIsNew(t *testing.T) {
