Never let the reader of a full connection miss its place, or spin

Found by reading again. A writer that made a place after barred had seen none, and before ends set the deadline, woke nobody: commands already read waited until the client sent more. And where a pause after wrong commands was over, a reader without a place took its past time for a deadline and spun; one with a full buffer waited for a place that nobody would make.

At fault: ends and stand, which did not tell the two reasons to wait apart. Mend: the input tells; with a place made meanwhile the reader looks up at once.

The test forces both orders on a real connection and fails without either mend.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -245,14 +245,15 @@
 	at   time.Time // when the last of it came
 	rest time.Time // by when what has begun has to be whole; zero: nothing has
 	hold time.Time // no command is started before
+	full bool      // none is started until the writer has made a place
 }
 
 // take starts the commands as they come. While none may be started it reads on,
 // as far as there is room: a client that leaves meanwhile must be noticed.
 func (c *client) take() error {
-	in := input{buf: make([]byte, 0, readBuffer), rest: c.opened.Add(firstPatience)}
 	// A client that says nothing, or half a command and no more, would keep
 	// its descriptor for good.
+	in := input{buf: make([]byte, 0, readBuffer), rest: c.opened.Add(firstPatience)}
 	defer func() { c.server.loop.memory.give(cap(in.buf) - readBuffer) }()
 	for {
 		held, err := c.commands(&in)
@@ -297,8 +298,12 @@
 		return true
 	}
 	until := in.rest
-	if held && (until.IsZero() || in.hold.Before(until)) {
+	switch {
+	case !held:
+	case !in.full:
 		until = in.hold
+	case !c.full: // the writer has made a place meanwhile
+		until = longAgo
 	}
 	c.nc.SetReadDeadline(until)
 	return false
@@ -306,11 +311,11 @@
 
 // stand waits with a full buffer, until a command may be started again.
 func (c *client) stand(in *input) {
-	if wait := time.Until(in.hold); wait > 0 {
-		time.Sleep(wait)
-		return
+	if in.full {
+		<-c.space
+	} else {
+		time.Sleep(time.Until(in.hold))
 	}
-	<-c.space
 }
 
 // refit makes a buffer of what is left of buf, with room to read on, unless
@@ -389,6 +394,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.full = len(c.pending) >= mostPending
+	in.full = c.full
 	return c.full || !in.hold.IsZero() && time.Now().Before(in.hold), c.gone
 }
 
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -293,19 +294,7 @@
 	first := wait(t, "the request", b.got)
 	c.send("Q.DO", anyone, newID(), payment, body)
 	c.send("PING")
-	r.eventually("the commands to be taken", func(*loop) bool {
-		r.server.mu.Lock()
-		defer r.server.mu.Unlock()
-		for c := range r.server.clients {
-			c.mu.Lock()
-			n := len(c.pending)
-			c.mu.Unlock()
-			if n == 3 {
-				return true
-			}
-		}
-		return false
-	})
+	r.someClient("the commands to be taken", func(c *client) bool { return len(c.pending) == 3 })
 	first.answer("v")
 	c.want("$1\r\nv")
 	c.want("-BUSY")
@@ -432,6 +421,68 @@
 	}
 }
 
+// The writer may make a place just before the reader waits for one: what has
+// been read already must not wait for more to come. And a pause that is long
+// over must not keep a reader without a place busy.
+func TestReaderWaitsForAPlaceAndForNothingElse(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	c.heard = true
+	full := make([]*slot, mostPending)
+	in := input{buf: []byte(encode("PING")), at: time.Now(), hold: time.Now().Add(-time.Hour)}
+
+	c.pending = full
+	held, err := c.commands(&in)
+	if !held || err != nil || c.ends(&in, held) {
+		t.Fatalf("with all places taken, held is %v, %v", held, err)
+	}
+	fmt.Fprint(b.far, "x")
+	if n, err := c.nc.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("the reader does not wait: %v", err)
+	}
+
+	if held, _ = c.commands(&in); !held {
+		t.Fatal("a command is started without a place")
+	}
+	c.mu.Lock() // as the writer does
+	c.pending, c.full = nil, false
+	c.nudge()
+	c.mu.Unlock()
+	if c.ends(&in, held) {
+		t.Fatal("the connection ends")
+	}
+	looked := make(chan error, 1)
+	go func() {
+		_, err := c.nc.Read(make([]byte, 1))
+		looked <- err
+	}()
+	if err := wait(t, "the reader to look up", looked); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the reader ends with %v", err)
+	}
+	if held, err = c.commands(&in); held || err != nil || len(in.buf) > 0 {
+		t.Errorf("the command is not started: held %v, %v", held, err)
+	}
+}
+
+// someClient waits until something holds of a connection of a client.
+func (r *rig) someClient(what string, ok func(*client) bool) {
+	r.Helper()
+	r.eventually(what, func(*loop) bool {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		for c := range r.server.clients {
+			c.mu.Lock()
+			found := ok(c)
+			c.mu.Unlock()
+			if found {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // patient makes a rig whose clients wait for longer than any test.
 func patient(t *testing.T, b *fakeBackend) (r *rig, long string) {
 	r = newRig(t, func(cfg *Config) {
@@ -453,35 +504,11 @@
 				text.WriteString(encode("Q.DO", anyone, newID(), long, "BODY"))
 			}
 			c.write(text.String())
-			r.eventually("the places to be taken", func(*loop) bool {
-				r.server.mu.Lock()
-				defer r.server.mu.Unlock()
-				for c := range r.server.clients {
-					c.mu.Lock()
-					full := c.full
-					c.mu.Unlock()
-					if full {
-						return true
-					}
-				}
-				return false
-			})
+			r.someClient("the places to be taken", func(c *client) bool { return c.full })
 		},
 		"while the last answers are due": func(r *rig, c *fakeClient, _ string) {
 			c.write("nonsense\r\n")
-			r.eventually("the end to be near", func(*loop) bool {
-				r.server.mu.Lock()
-				defer r.server.mu.Unlock()
-				for c := range r.server.clients {
-					c.mu.Lock()
-					closing := c.closing
-					c.mu.Unlock()
-					if closing {
-						return true
-					}
-				}
-				return false
-			})
+			r.someClient("the end to be near", func(c *client) bool { return c.closing })
 		},
 		"after the stop": func(r *rig, _ *fakeClient, _ string) {
 			r.server.late = func() {}
