Deal a ceiling out evenly, and start every gateway's part empty

Tried and dropped: parts by the least own use over all lags that the meter may have.

At fault: ceilingHolds, whose own/mean covers one time only by luck (a late meter shows the use before a spike, own counts show the spike), and which deals an even part to gateways that know nothing on top of the others' larger ones; customer, whose start of one request is handed out again at every restart.

Mend: even parts in rate and burst, empty at the start, filled from then on. They add up to the store at any time. A further attempt draws again while none has come to a backend, so that connections that fail late bunch nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,7 +39,6 @@
 	lagReadings  = 100  // readings over which the lag is learned
 	slotsPeriod  = 4    // slots of own history in one meter period
 	slotsKept    = 64   // slots of own history kept: lagMost periods and a little more
-	ceilingEven  = 0.5  // share of a ceiling dealt out evenly; the rest goes by own parts of the use
 	idlePeriods  = 60.0 // meter periods without a request after which a full customer is forgotten
 	sweepEvery   = 8.0  // meter periods between two sweeps of idle customers
 	failAverage  = 0.15 // weight of one outcome in a backend's share of failures
@@ -189,6 +188,7 @@
 	sent             time.Duration
 	ended, cancelled bool
 	never            bool // proved never to have run
+	unsent           bool // and never to have come to a backend
 }
 
 type backend struct {
@@ -295,17 +295,13 @@
 	c := g.customers[key]
 	if c == nil {
 		p := &g.cfg.Plans[in.Plan]
-		// The part of the ceiling fills from the gateway's start on, whether the customer is known or not:
-		// one before it may have drawn all of it. Where parts are small, it begins with one of the largest
-		// requests: filled from nothing, they would refuse everybody for seconds.
+		// The part of the ceiling is empty at the gateway's start, for the life before may have drawn it all,
+		// and fills from then on, whether the customer is known or not.
 		c = &customer{plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
 			ceilAt: g.born, count: ownCount{at: g.now}, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
 		if p.Rate <= 0 {
 			c.mean = startUse
 		}
-		if set := float64(max(in.Spread, 1)); set > fewGateways {
-			c.ceiling = min(g.cfg.MaxUnits, p.CeilingBurst/set)
-		}
 		c.head = g.slotOf(g.now)
 		for i := range c.slots {
 			// Before it was known, only pressure refused.
@@ -563,23 +559,17 @@
 
 // Ceiling.
 
-// ceilingHolds tells whether this gateway's part of the ceiling's store holds the units. Traffic falls on
-// many gateways unevenly, so half of the ceiling is dealt out by what each one's own use was of the use the
-// meter showed. Those parts add up to the whole, as even ones do, and no agreement is needed. Every part
-// holds one of the largest requests if there is room for that at all gateways; what is left is dealt out.
-// A gateway that starts afresh starts from nothing, or from one request among many.
+// ceilingHolds tells whether this gateway's part of the ceiling's store holds the units. The parts of a set
+// are even, in rate and in what they hold. So they add up to no more than the store at any time, whatever
+// the meter says and wherever the traffic goes, and also while gateways end and start again: one that
+// starts has an empty part, for the life before may have drawn it all.
 func (g *Gateway) ceilingHolds(c *customer, u float64) bool {
 	p := c.plan
 	if p.CeilingRate <= 0 {
 		return true
 	}
-	part, floor := 1/c.spread, min(g.cfg.MaxUnits, p.CeilingBurst/c.spread)
-	if c.measured && c.mean > 0 {
-		part += (1 - ceilingEven) * many(c.spread) * (min(1, c.own/c.mean) - part)
-	}
-	fill := (g.now - c.ceilAt).Seconds() * p.CeilingRate * part
-	c.ceiling = min(c.ceiling+fill, floor+(p.CeilingBurst-floor*c.spread)*part)
-	c.ceilAt = g.now
+	fill := (g.now - c.ceilAt).Seconds() * p.CeilingRate
+	c.ceiling, c.ceilAt = min(c.ceiling+fill/c.spread, p.CeilingBurst/c.spread), g.now
 	return c.ceiling >= u
 }
 
@@ -809,8 +799,15 @@
 	if b == nil {
 		return false
 	}
-	if len(r.attempts) == 0 {
+	// The ceiling counts what comes to a backend. A connection that failed may have taken so long that the
+	// part has filled again: the attempt that comes first draws at its own time.
+	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.unsent }) {
+		if len(r.attempts) > 0 && !g.ceilingHolds(r.cust, r.Units) {
+			return false
+		}
 		r.cust.ceiling -= r.Units
+	}
+	if len(r.attempts) == 0 {
 		g.bank = min(g.bank+retryShare, retryBank)
 		g.probe()
 	}
@@ -875,7 +872,8 @@
 	}
 	a := &r.attempts[o.Attempt]
 	a.ended = true
-	a.never = o.Status == Refused || o.Status == ConnectFailed || o.Status == Moot
+	a.unsent = o.Status == ConnectFailed || o.Status == Moot
+	a.never = a.unsent || o.Status == Refused
 	a.to.out--
 	g.out--
 	r.out--
