Let cold backends take turns by their least capacity, whatever the gateways

Seen: gateways on a fake clock, all warm backends slow, one just started: it is the cheapest with nothing out at every gateway, and gets 137 of 2100 requests at once from 30 gateways and 251 from 350, where its budget is 43 and chance may add 15.

Ruled out: that the fleet's usual work breaks the budget before the change (100 backends, ten of them new, 30 and 350 gateways: 2 and 22 in the fullest window).

At fault: coldRoom, which bounds what one gateway has out and passes when that is nothing, whatever all send together.

Mend: coldTurn. Each request is left by chance to a warm one or to a certain cold one, by least capacities. The sum over all gateways is then the cold one's part of the requests, a third of the budget while warm ones work at capacity.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,6 +91,8 @@
 	customers map[account]*customer
 	requests  map[uint32]*request
 	backends  map[uint32]*backend
+	cold      bool       // some of the fleet may be
+	warm      bool       // some of it were when last looked at
 	fleet     []*backend // the ready ones in order of arrival, for results that do not hang on map order
 	classes   []classSeen
 	advice    time.Duration   // given with a refusal
@@ -625,7 +627,14 @@
 func (g *Gateway) pick(r *request) *backend {
 	var best *backend
 	cost := math.Inf(1)
+	var cold *backend
+	if g.cold {
+		cold = g.coldTurn()
+	}
 	try := func(b *backend, healthy bool) {
+		if g.cold && g.warm && b != cold && g.warmth(b) < 1 {
+			return
+		}
 		unhealthy := g.now < b.until || g.silent(b) ||
 			slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == b })
 		if g.allowed(r, b) && g.coldRoom(b) && !(healthy && unhealthy) {
@@ -634,6 +643,11 @@
 			}
 		}
 	}
+	if cold != nil {
+		if try(cold, true); best != nil {
+			return best
+		}
+	}
 	n := len(g.fleet)
 	if few := max(pickLeast, pickFleets*n/g.cfg.Gateways); few < n {
 		for range few {
@@ -653,15 +667,11 @@
 
 // cost weighs a backend by work held for its size, latency, distance, failures and a little chance.
 func (g *Gateway) cost(r *request, b *backend) float64 {
-	size := 1.0
-	if g.cfg.WeightsTrusted && b.Weight > 0 {
-		size = b.Weight
-	}
 	others := b.others
 	if (g.now - b.reported).Seconds() > probeAims*g.longest.Seconds() {
 		others = g.held
 	}
-	c := (costOut*float64(b.out) + costOthers*others + 1) / (size * g.warmth(b)) * max(b.lat, costLeast)
+	c := (costOut*float64(b.out) + costOthers*others + 1) / (g.size(b) * g.warmth(b)) * max(b.lat, costLeast)
 	if b.Zone != g.cfg.Zone {
 		c *= 1 + costZone*g.cfg.CrossZoneCost
 	}
@@ -672,6 +682,14 @@
 	return c * (1 + costChance*g.rng.Float64())
 }
 
+// size is what the settings let one know of a backend's size.
+func (g *Gateway) size(b *backend) float64 {
+	if g.cfg.WeightsTrusted && b.Weight > 0 {
+		return b.Weight
+	}
+	return 1
+}
+
 // allowed tells whether the rule of effects lets r go to b now.
 func (g *Gateway) allowed(r *request, b *backend) bool {
 	a := r.first()
@@ -707,6 +725,35 @@
 	return from + (1-from)*max(0, age.Seconds())/g.cfg.ColdFor.Seconds()
 }
 
+// coldTurn returns the cold backend whose turn it is, or nil for a warm one's. It is left to chance, by least
+// capacities: a cold backend falls under the sum of what all gateways send, and each of them may find it the
+// cheapest at the same moment, of a slow fleet above all. So that sum is its part of all requests, however
+// many gateways there are: no more than its capacity, of which the settings allow a multiple, as long as the
+// warm ones keep up with theirs. With no warm one there is nothing to measure by.
+func (g *Gateway) coldTurn() *backend {
+	sum, warm := 0.0, 0
+	for _, b := range g.fleet {
+		sum += g.size(b) * g.warmth(b)
+		if g.warmth(b) >= 1 {
+			warm++
+		}
+	}
+	g.warm, g.cold = warm > 0, warm < len(g.fleet) && g.cfg.Gateways > fewGateways
+	if !g.warm || !g.cold {
+		return nil
+	}
+	at := g.rng.Float64() * sum
+	for _, b := range g.fleet {
+		if at -= g.size(b) * g.warmth(b); at < 0 {
+			if g.warmth(b) < 1 {
+				return b
+			}
+			break
+		}
+	}
+	return nil
+}
+
 // coldRoom keeps the work out at a cold backend in step with what a warm one holds.
 func (g *Gateway) coldRoom(b *backend) bool {
 	w := g.warmth(b)
@@ -774,6 +821,7 @@
 		}
 		return b.State == Removed && b.out == 0
 	})
+	g.cold = true
 	g.fleet = slices.DeleteFunc(g.fleet, func(b *backend) bool { return b.State != Ready })
 }
 
