Notice a client that leaves behind bytes that nobody reads

Seen, on real connections: a client that has sent a further command after the stop, or more than the reader holds, and then closes is not noticed before its open request is answered (waited 30 s). Until then the module goes on with further attempts and second copies for it.

Ruled out: attempts that wait for a connection (withdraw calls them off, tested), timers and outcomes of a request that is over, and commands read before the end.

At fault: finish, whose watch ends at the first unread byte and then waits for the writer alone, and stand, which waits for a place with a full buffer. The end is behind bytes that must stay unread, so neither a read nor a peek can show it.

Mend: every 40 ms the state of the connection is asked (TCP_INFO), as long as bytes hide the end. Where the system does not tell, nothing changes.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,6 +21,9 @@
 	halfPatience  = 2 * time.Second         // for the rest of one that has begun
 	mostWrong     = 8                       // wrong commands after which a connection ends
 	wrongPause    = 50 * time.Millisecond   // behind the second one and each further one, without a further command
+	// leaveCheck is how often a client is looked after whose end is hidden by
+	// bytes that stay unread. A client that has gone is worth no attempt 0.1 s later.
+	leaveCheck = 40 * time.Millisecond
 )
 
 var (
@@ -210,10 +214,9 @@
 		return
 	}
 	notify(c.wake)
-	if left := c.watch(); left {
+	if left := c.watch(); left || c.leaves(c.written) {
 		return
 	}
-	<-c.written
 	// What crosses the end turns it into a reset, which must not overtake the
 	// last answers.
 	end := time.Now().Add(lingerTime)
@@ -239,6 +242,36 @@
 	return left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// leaves waits for done, and tells whether the client has left before. What it
+// has sent and nobody reads hides its end, so the connection itself is asked.
+func (c *client) leaves(done <-chan struct{}) bool {
+	check := time.NewTicker(leaveCheck)
+	defer check.Stop()
+	for {
+		select {
+		case <-done:
+			return false
+		case <-check.C:
+			if c.left() {
+				return true
+			}
+		}
+	}
+}
+
+// left tells whether the client has closed the connection, read or not.
+func (c *client) left() (left bool) {
+	raw, err := c.nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = err == nil && (info.State == unix.BPF_TCP_CLOSE || info.State == unix.BPF_TCP_CLOSE_WAIT)
+	})
+	return left || err != nil
+}
+
 // input is what the reader has read and not started yet.
 type input struct {
 	buf  []byte
@@ -264,7 +297,9 @@
 			return errEnds
 		}
 		if len(in.buf) == cap(in.buf) {
-			c.stand(&in)
+			if !c.stand(&in) {
+				return errLeft
+			}
 			continue
 		}
 		n, err := c.nc.Read(in.buf[len(in.buf):cap(in.buf)])
@@ -309,13 +344,14 @@
 	return false
 }
 
-// stand waits with a full buffer, until a command may be started again.
-func (c *client) stand(in *input) {
+// stand waits with a full buffer, until a command may be started again. It
+// returns false if the client leaves before.
+func (c *client) stand(in *input) bool {
 	if in.full {
-		<-c.space
-	} else {
-		time.Sleep(time.Until(in.hold))
+		return !c.leaves(c.space)
 	}
+	time.Sleep(time.Until(in.hold))
+	return true
 }
 
 // refit makes a buffer of what is left of buf, with room to read on, unless
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -510,16 +510,19 @@
 			c.write("nonsense\r\n")
 			r.someClient("the end to be near", func(c *client) bool { return c.closing })
 		},
-		"after the stop": func(r *rig, _ *fakeClient, _ string) {
-			r.server.late = func() {}
-			r.stop()
-			for addr := r.server.Addr().String(); ; { // until no further client is taken
-				nc, err := net.Dial("tcp", addr)
-				if err != nil {
-					break
-				}
-				nc.Close()
+		"after the stop": func(r *rig, _ *fakeClient, _ string) { r.halt() },
+		"after the stop, behind a command that nobody reads": func(r *rig, c *fakeClient, _ string) {
+			r.halt()
+			r.someClient("the end to be near", func(c *client) bool { return c.closing })
+			c.send("PING")
+		},
+		"behind more than the reader holds": func(r *rig, c *fakeClient, long string) {
+			var text strings.Builder
+			for range mostPending + 4*maxMessage/(4<<10) { // what is behind the places fills the buffer
+				text.WriteString(encode("Q.DO", anyone, newID(), long, strings.Repeat("x", 4<<10)))
 			}
+			c.write(text.String())
+			r.someClient("the places to be taken", func(c *client) bool { return c.full })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -536,6 +539,19 @@
 	}
 }
 
+// halt stops the ingress, and waits until it takes no further client.
+func (r *rig) halt() {
+	r.server.late = func() {}
+	r.stop()
+	for addr := r.server.Addr().String(); ; {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			break
+		}
+		nc.Close()
+	}
+}
+
 func TestStopAnswersWhatIsOpenAndEndsBetweenRequests(t *testing.T) {
 	b := newBackend(t)
 	r := newRig(t, nil, b.member("b"))
