Keep descriptors back for discovery, the listener and the process itself

Seen: the program run with 40 descriptors, backends holding all they may, and 80 idle clients while discovery is silent: when discovery is back it is not reached within 10 s ("discovery is not reached"). With 256 it is reached before and after.

Ruled out: accept, which waits and goes on when a descriptor is free, and the eviction of idle clients, which keeps one in sixteen places free.

At fault: Limits.clients and Limits.backends, whose shares leave a tenth of the limit for the rest: four descriptors of 40, where the process itself needs six; room, which lets more in than the limit as long as evicted clients leave.

Mend: twelve descriptors are kept back before the shares are dealt out, and room counts those that leave as well. The test runs the program under a limit of the system, on real connections.

TestIdleClientMakesRoom names its four descriptors beside the ones kept back.

--- a/cmd/wickarch/main_test.go
+++ b/cmd/wickarch/main_test.go
@@ -11,17 +11,27 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// asProgram makes the test's own binary run the program instead.
-const asProgram = "WICKARCH_TEST_AS_PROGRAM"
+// asProgram makes the test's own binary run the program instead, socketLimit
+// with no more descriptors than that.
+const (
+	asProgram   = "WICKARCH_TEST_AS_PROGRAM"
+	socketLimit = "WICKARCH_TEST_SOCKETS"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		if n, err := strconv.ParseUint(os.Getenv(socketLimit), 10, 64); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -590,8 +590,8 @@
 // makes room; one with a request open never does.
 func TestIdleClientMakesRoomForANewOne(t *testing.T) {
 	b := newBackend(t)
-	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets = 4 }, b.member("b")) // two for clients
-	for n := 1; n > 0; {                                                        // that of the rig is gone
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets = keptSockets + 4 }, b.member("b")) // two for clients
+	for n := 1; n > 0; {                                                                      // that of the rig is gone
 		r.server.mu.Lock()
 		n = len(r.server.clients)
 		r.server.mu.Unlock()
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -30,12 +30,16 @@
 }
 
 // Shares of the limits. The rest of the memory is for socket buffers and the
-// runtime, the rest of the descriptors for discovery, listener and files.
+// runtime. Whatever clients and backends hold, some descriptors are kept back
+// for the rest of the process: three standard files, the listener, those of the
+// runtime's poller, a connection just accepted, the configuration read again,
+// and discovery, which may be called at two addresses at once.
 const (
 	heapShare      = 0.6
 	garbagePercent = 400 // the heap in use is small: trade memory for CPU
 	clientShare    = 0.55
 	backendShare   = 0.35
+	keptSockets    = 12
 	defaultSockets = 1024
 	defaultMemory  = 192
 )
@@ -47,8 +51,8 @@
 	debug.SetGCPercent(garbagePercent)
 }
 
-func (l Limits) clients() int  { return max(1, int(clientShare*float64(l.Sockets))) }
-func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets))) }
+func (l Limits) clients() int  { return max(1, int(clientShare*float64(l.Sockets-keptSockets))) }
+func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets-keptSockets))) }
 
 // Config is all that one ingress is told at its start.
 type Config struct {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -193,7 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most := s.cfg.Limits.clients()
-	if s.ending || len(s.clients)-s.leaving < most-most/spareShare {
+	if s.ending || len(s.clients) < most && len(s.clients)-s.leaving < most-most/spareShare {
 		return true
 	}
 	var least *client
