Let the test's leaving client send no more than the system holds

TestLeavingClientIsNoticed failed under load, 2 of 3 runs of the package: its client wrote 800 KB that nobody reads, so that the end of its connection could not be sent and no ingress could see it. It now fills the reader's buffer and a little more; without the mend it fails as before, with it 20 of 20 runs pass.

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -518,11 +518,16 @@
 		},
 		"behind more than the reader holds": func(r *rig, c *fakeClient, long string) {
 			var text strings.Builder
-			for range mostPending + 4*maxMessage/(4<<10) { // what is behind the places fills the buffer
-				text.WriteString(encode("Q.DO", anyone, newID(), long, strings.Repeat("x", 4<<10)))
+			for range mostPending {
+				text.WriteString(encode("Q.DO", anyone, newID(), long, "BODY"))
 			}
 			c.write(text.String())
 			r.someClient("the places to be taken", func(c *client) bool { return c.full })
+			text.Reset()
+			for text.Len() < maxMessage+readBuffer+8<<10 { // a little more than the reader's buffer; the system's holds it
+				text.WriteString(encode("Q.DO", anyone, newID(), long, strings.Repeat("x", 4<<10)))
+			}
+			c.write(text.String())
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
