--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -843,3 +843,32 @@
 		t.Errorf("with connections idle for too long %d backends are used, want about %d", idle, free)
 	}
 }
+
+// Neither a repeat nor a second copy begins for a client that has gone, however
+// what was out for it ends.
+func TestNothingMoreIsSentForAClientThatLeft(t *testing.T) {
+	for _, end := range []choice.Status{choice.Error, choice.Refused, choice.Timeout, choice.ConnectFailed, choice.Reset, choice.Cancelled, choice.Moot} {
+		for _, left := range []bool{false, true} {
+			cfg := plain()
+			cfg.SecondCopies = true
+			g, rec := open(t, cfg, backends(4))
+			for id := uint32(1); id <= 2; id++ {
+				g.Request(0, choice.Request{ID: id, Customer: 1, Spread: 1, Units: 1, TimeLeft: 2 * time.Second})
+			}
+			if left {
+				g.Gone(ms, 1)
+				g.Gone(ms, 2)
+			}
+			// The first is due for a second copy, the attempt of the other ends.
+			g.Timer(300*ms, 1<<8|1)
+			g.Outcome(300*ms, choice.Outcome{ID: 2, Backend: rec.sent[2][0], Status: end, Over: left})
+			copies, repeats := len(rec.sent[1])-1, len(rec.sent[2])-1
+			if left && (copies > 0 || repeats > 0) {
+				t.Errorf("status %d: %d second copies and %d repeats for clients that are gone", end, copies, repeats)
+			}
+			if wanted := end != choice.Moot; !left && (copies != 1 || (repeats == 1) != wanted) {
+				t.Errorf("status %d: %d second copies and %d repeats for clients that wait", end, copies, repeats)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/size_test.go
@@ -0,0 +1,78 @@
+package ingress
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"curlewsail/choice"
+)
+
+// heap is what is in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// A tier of 1,024 ingresses and 1,024 backends is followed whole, by the list,
+// by changes and by requests of a thousand customers whose sets are as large,
+// well inside the least memory that is told on any day played.
+func TestThousandBackendsAndIngressesFitTheMemory(t *testing.T) {
+	const size, told = 1024, 64 << 20
+	before := heap()
+	b := newBackend(t)
+	members := []member{b.member("real")}
+	for i := 1; i < size; i++ { // nobody listens there
+		members = append(members, member{ID: fmt.Sprintf("s-%08x", i), HostPort: fmt.Sprintf("127.0.0.1:%d", i),
+			Locality: "a", Flavor: "std", Phase: phaseDraining, Size: 1})
+	}
+	r := newRig(t, func(cfg *Config) {
+		cfg.Choice.Gateways, cfg.Choice.Probing = size, false
+		cfg.Limits.MemoryMB = told >> 20
+		cfg.Choice.Plans[0] = choice.Plan{Rate: 1000, Burst: 1000, Price: 1, CeilingRate: 1e6, CeilingBurst: 1e6}
+	}, members...)
+	known := func(want int) {
+		t.Helper()
+		r.eventually(fmt.Sprint(want, " backends"), func(l *loop) bool { return len(l.pool.byName) == want })
+	}
+	known(size)
+	wait(t, "a watch", r.discovery.watched)
+
+	c := r.dial()
+	wide := strings.Replace(lookup, "spread=1", fmt.Sprintf("spread=%d", size), 1)
+	served := 0
+	for i := range 1000 {
+		c.send("Q.ASK", fmt.Sprintf("%016x", 1<<20+i), newID(), wide)
+		answer := make(chan string, 1)
+		go func() { answer <- c.line() }()
+		select {
+		case got := <-b.got:
+			got.answer("v")
+			if line := wait(t, "the answer", answer); line == "$1\r\nv" {
+				served++
+			}
+		case <-answer: // refused: the ingress has a thousandth of the quota's window
+		}
+	}
+	if served < 100 {
+		t.Errorf("%d of 1000 requests are served", served)
+	}
+	for revision := 8; revision < 28; revision++ { // every backend is replaced, twenty times over
+		var lines []string
+		for i := 1; i < size; i++ {
+			lines = append(lines, fmt.Sprintf(`{"id":"s-%d-%08x","host_port":"127.0.0.1:%d","phase":"DRAINING","size":1}`, revision, i, i))
+		}
+		lines = append(lines, fmt.Sprintf(`{"id":"real","host_port":%q,"phase":"SERVING","size":1}`, b.addr))
+		r.discovery.lines <- fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, revision, strings.Join(lines, ","))
+	}
+	r.eventually("the last list", func(l *loop) bool { return l.pool.byName["s-27-00000001"] != nil })
+	known(size)
+	if used := heap() - before; used > told/4 {
+		t.Errorf("%d KB are in use, want a quarter of the %d MB told at most", used>>10, told>>20)
+	} else {
+		t.Logf("%d KB in use, %d requests served", used>>10, served)
+	}
+}
