Let the shown store bound a customer only as far as overuse costs

Of the units asked by district customers, whose use beyond the quota costs nothing, 20 in 100 are refused by the store's bound, half of them with a reading below the quota. Set against stores of a like quota, nine in ten of these were inside it.

At fault: admit, where the bound refuses all that the others may have drawn, whatever a try beyond the quota costs.

Mend: the bound leaves as much of the chance as overuse is free of cost. For the district plan the one chance decides alone, as the design says; plans whose overuse costs its whole worth are bound as before. The example of the package names a cost, so that it still shows a refusal.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -340,8 +340,8 @@
 	} else if p.Rate > 0 && g.now-c.storeAt < time.Duration(boundPeriods*float64(g.cfg.MeterPeriod)) {
 		others := max(0, c.mean-c.own) / g.cfg.MeterPeriod.Seconds() * max(1, surge)
 		doubt := doubtShare * (1 - p.free()) * math.Sqrt(others*(g.now-c.storeAt).Seconds())
-		if g.share(c, 1, others) < u+doubt {
-			chance = 0
+		if g.share(c, 1, others) < u+doubt { // where overuse costs nothing, the chance decides alone
+			chance *= p.free()
 		}
 	}
 	s := &c.slots[c.head%slotsKept]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -872,3 +872,34 @@
 		}
 	}
 }
+
+// The store that the meter shows bounds a customer as far as use beyond the
+// quota costs. Where it costs nothing, the one chance decides alone.
+func TestStoreBoundsAsFarAsOveruseCosts(t *testing.T) {
+	const customers = 400
+	for _, c := range []struct {
+		cost        float64
+		least, most int
+	}{{0, customers / 6, customers / 2}, {0.5, customers / 12, customers / 4}, {1, 0, 0}} {
+		cfg := plain()
+		cfg.Gateways, cfg.Plans[0].OverCost = 100, c.cost
+		g, rec := open(t, cfg, backends(1000))
+		id, passed := uint32(0), 0
+		for customer := range uint64(customers) {
+			// Two readings of twice the quota: the store is empty, the chance a half.
+			now := time.Duration(customer) * 3 * time.Second
+			for range 2 {
+				id++
+				ask(g, rec, now, choice.Request{ID: id, Customer: customer, Spread: 100}, 2)
+				now += 600 * ms
+			}
+			id++
+			if ask(g, rec, now, choice.Request{ID: id, Customer: customer, Spread: 100}, -1) {
+				passed++
+			}
+		}
+		if passed < c.least || passed > c.most {
+			t.Errorf("overuse at %v: %d of %d pass an empty store at twice the quota, want %d to %d", c.cost, passed, customers, c.least, c.most)
+		}
+	}
+}
--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -24,7 +24,7 @@
 	cfg := choice.Config{
 		Gateways: 2, MeterPeriod: time.Second, MaxUnits: 1, MaxAttempts: 2,
 		Classes: []choice.Class{{Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: choice.Free}},
-		Plans:   []choice.Plan{{Rate: 2, Burst: 2, Price: 1}},
+		Plans:   []choice.Plan{{Rate: 2, Burst: 2, Price: 1, OverCost: 1}},
 	}
 	now := time.Duration(0)
 	g, err := choice.New(cfg, 1, now, printer{})
