Look at a backend with a kept connection too, where handshakes cost

Ruled out: that connections were lost once kept (0 closed as idle), and a larger weight of the preference, which can't prefer what is not looked at.

At fault: pick, whose few candidates hardly ever hold one with a kept connection.

The test bounds fresh connections and the busiest backend; it fails without the mend.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,6 +68,7 @@
 	pressSteps   = 5.0  // steps of the window in one second
 	pickLeast    = 3    // backends taken by chance of which the best is picked, at least
 	pickFleets   = 3    // fleets of such picks at one time, over all gateways
+	keptGateways = 15.0 // gateways that keep to each backend at least: their sum is even to a quarter
 	costOut      = 1.5  // weight of an own attempt out at a backend
 	costOthers   = 0.5  // weight of a request that its report shows besides
 	costLeast    = 0.5  // means: no backend's latency counts as shorter
@@ -653,6 +654,9 @@
 		for range few {
 			try(g.fleet[g.rng.IntN(n)], true)
 		}
+		if b := g.kept(); b != nil {
+			try(b, true)
+		}
 	}
 	for healthy := true; best == nil; healthy = false {
 		for _, b := range g.fleet {
@@ -675,13 +679,39 @@
 	if b.Zone != g.cfg.Zone {
 		c *= 1 + costZone*g.cfg.CrossZoneCost
 	}
-	if b.kept == 0 || g.cfg.ConnIdle > 0 && g.now-b.heard > g.cfg.ConnIdle/2 {
+	if !g.reusable(b) {
 		c *= 1 + costShake*g.cfg.HandshakeCost
 	}
 	c *= 1 + costFails*(b.fails+g.zones[b.Zone])
 	return c * (1 + costChance*g.rng.Float64())
 }
 
+// kept returns a backend with an own connection that can be used again, or nil where handshakes cost
+// nothing or there are too few yet: the fewer backends each gateway keeps to, the less even is what all of
+// them send to one backend.
+func (g *Gateway) kept() (one *backend) {
+	if g.cfg.HandshakeCost <= 0 {
+		return nil
+	}
+	n := 0
+	for _, b := range g.fleet {
+		if g.reusable(b) {
+			if n++; g.rng.IntN(n) == 0 {
+				one = b
+			}
+		}
+	}
+	if float64(n*g.cfg.Gateways) < keptGateways*float64(len(g.fleet)) {
+		return nil
+	}
+	return one
+}
+
+// reusable tells whether an own connection to b has carried an answer and is free.
+func (g *Gateway) reusable(b *backend) bool {
+	return b.kept > 0 && (g.cfg.ConnIdle <= 0 || g.now-b.heard <= g.cfg.ConnIdle/2)
+}
+
 // size is what the settings let one know of a backend's size.
 func (g *Gateway) size(b *backend) float64 {
 	if g.cfg.WeightsTrusted && b.Weight > 0 {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -903,3 +903,54 @@
 		}
 	}
 }
+
+// At one of many gateways a few backends taken by chance hardly ever hold a
+// kept connection. Where handshakes cost, one that does is looked at as well;
+// all gateways together still spread their requests.
+func TestKeptConnectionsAreFoundAmongManyBackends(t *testing.T) {
+	const gateways, number, requests = 120, 200, 200
+	for _, cost := range []float64{0, 0.08} {
+		cfg := plain()
+		cfg.Gateways, cfg.HandshakeCost, cfg.ConnIdle = gateways, cost, 30*time.Second
+		cfg.Plans[0] = choice.Plan{Rate: 1e6, Burst: 1e6, Price: 1}
+		rng := rand.New(rand.NewPCG(3, 4))
+		fresh, load := 0, map[uint32]int{}
+		for self := range gateways {
+			cfg.Self = self
+			rec := record()
+			g, err := choice.New(cfg, uint64(self), 0, rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Members(0, choice.Cached, backends(number))
+			kept := map[uint32]int{}
+			for id := range uint32(requests) {
+				now := time.Duration(id) * 50 * ms
+				g.Request(now, choice.Request{ID: id + 1, Customer: uint64(id), Spread: gateways, Units: 1, TimeLeft: time.Second})
+				if len(rec.sent[id+1]) == 0 {
+					continue
+				}
+				to := rec.sent[id+1][0]
+				load[to]++
+				if kept[to] == 0 {
+					fresh++
+					kept[to]++
+				}
+				took := time.Duration(30+rng.IntN(20)) * ms
+				g.Outcome(now+took, choice.Outcome{ID: id + 1, Backend: to, Status: choice.OK, Elapsed: took, Over: true})
+			}
+		}
+		sent, most := 0, 0
+		for _, n := range load {
+			sent += n
+			most = max(most, n)
+		}
+		t.Logf("handshakes at %v: %d sent, %d on fresh connections, %d to the busiest backend", cost, sent, fresh, most)
+		if cost > 0 && fresh > sent/4 {
+			t.Errorf("handshakes at %v: %d of %d go on fresh connections, want a quarter at most", cost, fresh, sent)
+		}
+		if most > 2*sent/number {
+			t.Errorf("handshakes at %v: the busiest backend gets %d of %d, want twice the mean at most", cost, most, sent)
+		}
+	}
+}
