Begin a guarded repeat early enough for a late connection

On another one the connection took 161 ms. The limits allow 250 ms, the rule 50 ms beyond the window.

At fault: allowed, which holds the window against the time of its decision; the attempt begins when its connection is up.

The test fails without the mend.

--- a/choice/api.go
+++ b/choice/api.go
@@ -43,7 +43,9 @@
 	DrainGrace    time.Duration // sends to a draining backend must have ceased by then
 	HandshakeCost float64       // price of a fresh connection for an attempt, as a part of a request's worth
 	ConnIdle      time.Duration // an idle connection to a backend is closed after this at the latest; 0: unknown
-	CrossZoneCost float64       // price of an attempt that leaves the zone, as a part of a request's worth
+	// ConnectTimeout is how long a new connection may take: an attempt may begin so much after its Send.
+	ConnectTimeout time.Duration
+	CrossZoneCost  float64 // price of an attempt that leaves the zone, as a part of a request's worth
 }
 
 // Effect tells what repeating a request of a class may do.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -731,7 +731,8 @@
 	case SingleShot:
 		return false
 	case Guarded:
-		return g.now-a.sent < cl.Window && (cl.Group == GroupAll ||
+		// The repeat may have to wait for its connection, and has to begin within the window.
+		return g.now-a.sent+g.cfg.ConnectTimeout < cl.Window && (cl.Group == GroupAll ||
 			cl.Group == GroupZone && b.Zone == a.to.Zone ||
 			cl.Group == GroupCell && b.Cell == a.to.Cell)
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -954,3 +954,22 @@
 		}
 	}
 }
+
+// A repeat of a guarded request may have to wait for its connection as long as
+// the settings let it, and has to begin within the window even then.
+func TestRepeatBeginsWithinTheWindowOnALateConnection(t *testing.T) {
+	for _, c := range []struct {
+		ended  time.Duration
+		repeat bool
+	}{{700 * ms, true}, {749 * ms, true}, {750 * ms, false}, {990 * ms, false}} {
+		cfg := plain()
+		cfg.ConnectTimeout = 250 * ms
+		cfg.Classes[0].Effect, cfg.Classes[0].Group, cfg.Classes[0].Window = choice.Guarded, choice.GroupAll, time.Second
+		g, rec := open(t, cfg, backends(4))
+		g.Request(0, choice.Request{ID: 1, Customer: 1, Spread: 1, Units: 1, TimeLeft: 2 * time.Second})
+		g.Outcome(c.ended, choice.Outcome{ID: 1, Backend: rec.sent[1][0], Status: choice.Reset, Elapsed: c.ended})
+		if repeated := len(rec.sent[1]) == 2; repeated != c.repeat || rec.refused[1] == c.repeat {
+			t.Errorf("reset after %v of a window of 1s: repeated %v, refused %v; want it repeated: %v", c.ended, repeated, rec.refused[1], c.repeat)
+		}
+	}
+}
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -178,6 +178,7 @@
 	}
 	if cfg.connectTimeout <= 0 {
 		cfg.connectTimeout = 250 * time.Millisecond
+		cfg.Choice.ConnectTimeout = cfg.connectTimeout
 	}
 	return cfg, nil
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -19,6 +19,7 @@
 		SecondCopies  bool    `json:"second_copies"`
 		TryLimit      int     `json:"try_limit"`
 		ConnIdle      float64 `json:"conn_idle_ms"`
+		Connect       float64 `json:"connect_timeout_ms"`
 	} `json:"bounds"`
 	Discovery  string `json:"discovery"`
 	Invariants struct {
@@ -87,7 +88,7 @@
 		ColdFrom:       s.Invariants.ColdFrom, ColdFor: millis(s.Invariants.ColdFor),
 		FallMultiple: s.Invariants.FallMultiple, FallFor: millis(s.Invariants.FallFor),
 		DrainGrace: millis(s.Invariants.DrainGrace), CrossZoneCost: s.Prices.CrossZone,
-		HandshakeCost: s.Prices.Handshake, ConnIdle: millis(s.Bounds.ConnIdle),
+		HandshakeCost: s.Prices.Handshake, ConnIdle: millis(s.Bounds.ConnIdle), ConnectTimeout: millis(s.Bounds.Connect),
 	}
 	for _, f := range s.Report.Fields {
 		if word, ok := fields[f]; ok {
--- a/internal/wire/settings_test.go
+++ b/internal/wire/settings_test.go
@@ -8,7 +8,7 @@
 // What connections cost and how long they are kept comes with the settings;
 // where nothing is said of it, picks must not weigh it.
 func TestSettingsTellWhatConnectionsCost(t *testing.T) {
-	cfg, _, err := ParseConfig([]byte(`{"bounds":{"conn_idle_ms":30000},"prices":{"handshake":0.08,"cross_zone":0.02}}`))
+	cfg, _, err := ParseConfig([]byte(`{"bounds":{"conn_idle_ms":30000,"connect_timeout_ms":250},"prices":{"handshake":0.08,"cross_zone":0.02}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -16,6 +16,9 @@
 		t.Errorf("handshakes cost %v, connections are kept %v, zones cost %v; want 0.08, 30s, 0.02",
 			cfg.HandshakeCost, cfg.ConnIdle, cfg.CrossZoneCost)
 	}
+	if cfg.ConnectTimeout != 250*time.Millisecond {
+		t.Errorf("a connection may take %v, want 250ms", cfg.ConnectTimeout)
+	}
 	if cfg, _, err = ParseConfig([]byte(`{}`)); err != nil || cfg.HandshakeCost != 0 || cfg.ConnIdle != 0 {
 		t.Errorf("empty settings: handshakes cost %v, connections are kept %v, error %v; want 0, 0, none",
 			cfg.HandshakeCost, cfg.ConnIdle, err)
