--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // BenchmarkRequest measures one request with its outcome, at a small deployment and at a large one.
--- a/choice/ceiling_test.go
+++ b/choice/ceiling_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // ceilingFleet plays one customer's gateways on a clock of its own: requests by
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 const ms = time.Millisecond
--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // coldFleet is the actions of one of many gateways that send to the same backends.
--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // A printer is the least Actions: a gateway would start the attempt, write the
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 func TestMain(m *testing.M) {
@@ -293,7 +293,6 @@
 	k      *checker
 	cfg    choice.Config
 	gates  []*choice.Gateway
-	inst   []int // gateway of a request id, by order
 	out    []pending
 	nextID uint32
 	list   []choice.Backend
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"curlewsail/choice"
-	"curlewsail/internal/wire"
+	"cedarseam/choice"
+	"cedarseam/internal/wire"
 )
 
 func main() {
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"curlewsail/internal/wire"
+	"cedarseam/internal/wire"
 )
 
 const config = `{"balancers": 1, "bounds": {"try_limit": 2},
--- a/cmd/wickarch/main.go
+++ b/cmd/wickarch/main.go
@@ -11,7 +11,7 @@
 	"os/signal"
 	"syscall"
 
-	"curlewsail/internal/ingress"
+	"cedarseam/internal/ingress"
 )
 
 func main() {
--- a/internal/ingress/backend_test.go
+++ b/internal/ingress/backend_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 func TestAnswersAreUnderstood(t *testing.T) {
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 const (
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -18,8 +18,8 @@
 	"strconv"
 	"time"
 
-	"curlewsail/choice"
-	"curlewsail/internal/wire"
+	"cedarseam/choice"
+	"cedarseam/internal/wire"
 )
 
 // Limits are what the deployment lets one ingress use.
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -15,7 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // eventually waits until something holds of the loop.
@@ -152,11 +152,9 @@
 		t.Errorf("the next change is %+v", l)
 	}
 	f.lines <- ""
-	for l := range got { // the end of the last line may count as an empty one
-		if l.Revision != 9 || len(l.Members) != 0 {
-			t.Errorf("an empty line tells %+v", l)
-		}
-		break
+	// The end of the last line may count as an empty one.
+	if l := wait(t, "the empty line", got); l.Revision != 9 || len(l.Members) != 0 {
+		t.Errorf("an empty line tells %+v", l)
 	}
 	idle(t, "a second watch", f.watched)
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -7,7 +7,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 const (
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 const (
--- a/internal/ingress/size_test.go
+++ b/internal/ingress/size_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // heap is what is in use after a collection.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // Settings are the parts of an instance's settings that the project reads.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // Codes of the event records.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"curlewsail/choice"
+	"cedarseam/choice"
 )
 
 // frame builds a batch by hand from records and a tail.
