Add the scale command: slopes of costs and a run of many ingresses

Cause: what an ingress costs at 12,000 backends was read off the code and off single plays; there was no command that repeats it.

Change: cmd/scale with internal/scale. 'scale slopes' measures lists, requests, starts, tenants and connections at several sizes, repeats each, and fits slope, exponent and residual; whole lists are also told to a running ingress under load. 'scale run' plays one timeline against many ingresses, most of them without clients in shared processes (internal/ingress/control.go), beside some real ones under load, and holds the figures against the budgets. Discovery with its agents, backends and load are stand-ins on loopback. A Server is now built on the core that both share; its behaviour is unchanged.

--- /dev/null
+++ b/cmd/scale/main.go
@@ -0,0 +1,230 @@
+// Command scale measures what an ingress costs at sizes beyond today's fleets.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cedarseam/internal/scale"
+)
+
+// The exit codes.
+const (
+	exitDone       = 0
+	exitOverBudget = 1
+	exitUnusable   = 2 // bad flags, or what the run needs is missing
+)
+
+// errOverBudget tells that a figure breaks its budget.
+var errOverBudget = errors.New("a figure is over its budget")
+
+// commands are the flags of all commands.
+type commands struct {
+	Slopes slopesCommand `cmd:"" help:"Measure each cost at several sizes and fit its growth."`
+	Run    runCommand    `cmd:"" help:"Play one timeline of troubles against many ingresses."`
+	Hollow hollowCommand `cmd:"" hidden:"" help:"Run ingresses without clients; started by run."`
+
+	Logs string `help:"Least level of the log lines on standard error." enum:"debug,info,warn,error" default:"info"`
+}
+
+// log sends log lines of the level asked for, or of a higher one, to w.
+func (c *commands) log(w io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Logs)); err != nil {
+		return err
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})))
+	return nil
+}
+
+// output is where results go.
+type output struct {
+	JSON string `help:"File for the results as JSON." type:"path"`
+}
+
+// write prints the table and writes the file, if one is asked for.
+func (o output) write(w io.Writer, table string, results any) error {
+	fmt.Fprint(w, table)
+	if o.JSON == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(o.JSON, append(text, '\n'), 0o644)
+}
+
+type slopesCommand struct {
+	Backends    []int  `help:"Sizes of the fleet, at least two." default:"1500,3000,6000,12000,24000"`
+	Tenants     []int  `help:"Customers met by one ingress, at least two sizes." default:"4000,8000,16000,32000,64000"`
+	Connections []int  `help:"Connections of clients, at least two sizes." default:"125,250,500,1000"`
+	Repeats     int    `help:"Repetitions of each measurement." default:"5"`
+	Ingress     string `help:"The ingress program." default:"bin/wickarch" type:"existingfile"`
+	output
+}
+
+const (
+	sizesLeast   = 2 // a slope needs
+	largestSize  = 100_000
+	mostRepeats  = 100
+	smallestSize = 80 // room for two racks
+)
+
+// Validate tells what of the flags can't be used.
+func (c *slopesCommand) Validate() error {
+	for _, sizes := range [][]int{c.Backends, c.Tenants, c.Connections} {
+		if len(sizes) < sizesLeast {
+			return fmt.Errorf("%v: a slope needs %d sizes at least", sizes, sizesLeast)
+		}
+		if least, most := slices.Min(sizes), slices.Max(sizes); least < smallestSize || most > largestSize {
+			return fmt.Errorf("%v: sizes are from %d to %d", sizes, smallestSize, largestSize)
+		}
+	}
+	if c.Repeats < 1 || c.Repeats > mostRepeats {
+		return fmt.Errorf("--repeats is from 1 to %d", mostRepeats)
+	}
+	return nil
+}
+
+// Run measures the slopes.
+func (c *slopesCommand) Run(ctx context.Context, stdout io.Writer) error {
+	slopes, err := scale.MeasureSlopes(ctx, scale.SlopeOptions{
+		Backends: c.Backends, Tenants: c.Tenants, Connections: c.Connections, Repeats: c.Repeats, Ingress: c.Ingress})
+	if err != nil {
+		return err
+	}
+	return c.write(stdout, slopes.Markdown(), slopes)
+}
+
+type runCommand struct {
+	Ingresses int           `help:"Ingresses in all." default:"810"`
+	Real      int           `help:"Of them, whole processes that carry load." default:"4"`
+	Backends  int           `help:"Backends before them." default:"12000"`
+	Seed      uint64        `help:"Seed of the load." default:"1"`
+	Rate      float64       `help:"Requests a second to each real ingress." default:"250"`
+	Quiet     time.Duration `help:"How long nothing changes." default:"15s"`
+	Release   time.Duration `help:"How long a part of the backends is replaced." default:"30s"`
+	Replaced  float64       `help:"Part of the backends that the release replaces." default:"0.05"`
+	Zone      time.Duration `help:"How long a zone is lost, and as long again for its return." default:"20s"`
+	Cut       time.Duration `help:"How long discovery is cut off from half of the ingresses." default:"30s"`
+	Budgets   string        `help:"With enforce, a figure over its budget makes the exit code 1; with report, it is only marked." enum:"enforce,report" default:"enforce"`
+	Ingress   string        `help:"The ingress program." default:"bin/wickarch" type:"existingfile"`
+	output
+}
+
+const (
+	mostIngresses = 5000
+	mostRate      = 2000
+	longestPart   = 10 * time.Minute
+)
+
+func (c *runCommand) options() scale.RunOptions {
+	return scale.RunOptions{Ingresses: c.Ingresses, Real: c.Real, Backends: c.Backends, Seed: c.Seed, Rate: c.Rate,
+		Ingress: c.Ingress, Quiet: c.Quiet, Release: c.Release, Replaced: c.Replaced, Zone: c.Zone, Cut: c.Cut}
+}
+
+// Validate tells what of the flags can't be used.
+func (c *runCommand) Validate() error {
+	switch {
+	case c.Ingresses < 2 || c.Ingresses > mostIngresses:
+		return fmt.Errorf("--ingresses is from 2 to %d", mostIngresses)
+	case c.Backends < smallestSize || c.Backends > largestSize:
+		return fmt.Errorf("--backends is from %d to %d", smallestSize, largestSize)
+	case !(c.Rate > 0) || c.Rate > mostRate:
+		return fmt.Errorf("--rate is above 0 and at most %d", mostRate)
+	case !(c.Replaced > 0) || c.Replaced > 1:
+		return errors.New("--replaced is above 0 and at most 1")
+	}
+	for _, length := range []time.Duration{c.Quiet, c.Release, c.Zone, c.Cut} {
+		if length < 0 || length > longestPart {
+			return fmt.Errorf("a part of the timeline lasts from 0 to %v", longestPart)
+		}
+	}
+	return nil
+}
+
+// Run plays the timeline.
+func (c *runCommand) Run(ctx context.Context, stdout io.Writer) error {
+	options := c.options()
+	var err error
+	if options.Program, err = os.Executable(); err != nil {
+		return err
+	}
+	result, err := scale.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := c.write(stdout, result.Markdown(), result); err != nil {
+		return err
+	}
+	if result.Over() && c.Budgets == "enforce" {
+		return errOverBudget
+	}
+	return nil
+}
+
+type hollowCommand struct{}
+
+// Run runs the ingresses that the standard input specifies.
+func (hollowCommand) Run(ctx context.Context, stdout io.Writer) error {
+	return scale.RunHollow(ctx, os.Stdin, stdout)
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries a command out and returns the exit code.
+func run(arguments []string, stdout, stderr io.Writer) (code int) {
+	var all commands
+	parser, err := kong.New(&all, kong.Name("scale"), kong.Writers(stdout, stderr),
+		kong.Description("Measures what an ingress costs at sizes beyond today's fleets."),
+		kong.Exit(func(status int) { panic(exited(status)) }))
+	if err != nil {
+		fmt.Fprintln(stderr, "scale:", err)
+		return exitUnusable
+	}
+	// The help ends the program inside of the parser.
+	defer func() {
+		if status, ok := recover().(exited); ok {
+			code = int(status)
+		}
+	}()
+	parsed, err := parser.Parse(arguments)
+	if err != nil {
+		fmt.Fprintln(stderr, "scale:", err)
+		return exitUnusable
+	}
+	if err := all.log(stderr); err != nil {
+		fmt.Fprintln(stderr, "scale:", err)
+		return exitUnusable
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.BindTo(stdout, (*io.Writer)(nil))
+	switch err := parsed.Run(); {
+	case errors.Is(err, errOverBudget):
+		fmt.Fprintln(stderr, "scale:", err)
+		return exitOverBudget
+	case err != nil:
+		fmt.Fprintln(stderr, "scale:", err)
+		return exitUnusable
+	}
+	return exitDone
+}
+
+// exited is the status with which the parser ends the program.
+type exited int
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,8 +8,6 @@
 	"os"
 	"sync"
 	"time"
-
-	"cedarseam/choice"
 )
 
 const (
@@ -24,13 +22,11 @@
 
 // Server is one running ingress.
 type Server struct {
-	cfg  *Config
+	*core
 	ln   *net.TCPListener
-	loop *loop
 	late func() // waits while clients still come after the stop
 
-	sources *sources
-	moves   chan string // addresses of discovery to move to
+	moves chan string // addresses of discovery to move to
 
 	mu       sync.Mutex
 	clients  map[*client]struct{}
@@ -43,7 +39,7 @@
 
 // Listen makes an ingress and opens its address.
 func Listen(cfg Config) (*Server, error) {
-	l, err := newLoop(&cfg)
+	core, err := newCore(cfg, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -51,15 +47,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("clients: %w", err)
 	}
-	return &Server{cfg: &cfg, ln: ln.(*net.TCPListener), loop: l, clients: map[*client]struct{}{}, empty: make(chan struct{}),
-		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string),
-		sources: newSources(cfg.pace(), func(m memberList) {
-			kind := choice.Delta
-			if m.Complete {
-				kind = choice.Full
-			}
-			l.post(func(l *loop) { l.members(kind, m) })
-		})}, nil
+	return &Server{core: core, ln: ln.(*net.TCPListener), clients: map[*client]struct{}{}, empty: make(chan struct{}),
+		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string)}, nil
 }
 
 // Reload takes what may change while the ingress runs: the address of
@@ -78,15 +67,7 @@
 // time in which clients still come, answers all that it has taken, closes each
 // connection between requests, and returns.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := make(chan struct{})
-	defer func() { close(stop); <-s.loop.done }()
-	go s.loop.run(stop)
-	defer s.sources.close()
-	var known *memberList
-	if s.cfg.Known.Complete {
-		known = &s.cfg.Known
-	}
-	s.sources.follow(s.cfg.Discovery, known, func() { s.loop.post((*loop).open) })
+	defer s.start()()
 	go func() {
 		for {
 			select {
--- /dev/null
+++ b/internal/scale/discovery_test.go
@@ -0,0 +1,136 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait; no test passes by waiting.
+const patience = 30 * time.Second
+
+// watcher reads the lines of one watch.
+type watcher struct {
+	t     *testing.T
+	lines chan string
+}
+
+func (d *discovery) watcher(t *testing.T, agent int, revision int64) *watcher {
+	t.Helper()
+	answer, err := http.Get(fmt.Sprintf("http://%s/api/targets?stream=1&index=%d", d.agentAddress(agent), revision))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { answer.Body.Close() })
+	w := &watcher{t, make(chan string, 100)}
+	go func() {
+		lines := bufio.NewScanner(answer.Body)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			w.lines <- lines.Text()
+		}
+		close(w.lines)
+	}()
+	return w
+}
+
+// next returns the next line that is not empty.
+func (w *watcher) next() (list memberList) {
+	w.t.Helper()
+	for {
+		select {
+		case line, more := <-w.lines:
+			if !more {
+				w.t.Fatal("the watch has ended")
+			}
+			if line == "" {
+				continue
+			}
+			if err := json.Unmarshal([]byte(line), &list); err != nil {
+				w.t.Fatalf("%q: %v", line, err)
+			}
+			return list
+		case <-time.After(patience):
+			w.t.Fatal("no line comes")
+		}
+	}
+}
+
+func newTestDiscovery(t *testing.T, size int) (*discovery, memberList) {
+	t.Helper()
+	fleet := newFleet(size, 1)
+	d, err := startDiscovery(fleet, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.close)
+	return d, fleet
+}
+
+func TestWatchTellsWhatChangedSinceItsRevision(t *testing.T) {
+	d, fleet := newTestDiscovery(t, 10)
+	w := d.watcher(t, 3, 1)
+	one, two := fleet.Members[1], fleet.Members[2]
+	one.Phase, two.Phase = phaseDraining, phaseDeleted
+	d.publish(one)
+	if l := w.next(); l.Revision != 2 || l.Complete || len(l.Members) != 1 || l.Members[0] != one {
+		t.Errorf("the first change is told as %+v", l)
+	}
+	d.publish(two)
+	d.publish(two)
+	late := d.watcher(t, 4, 1).next()
+	if late.Revision != 4 || late.Complete || len(late.Members) != 2 || late.Members[0] != one || late.Members[1] != two {
+		t.Errorf("a watch from before all of it is told %+v, want each change once", late)
+	}
+	if future := d.watcher(t, 5, 99).next(); !future.Complete || len(future.Members) != 9 {
+		t.Errorf("a watch from a revision that never was is told %d members, whole %t; want the whole list", len(future.Members), future.Complete)
+	}
+}
+
+func TestRevisionTooOldIsToldTheWholeList(t *testing.T) {
+	d, fleet := newTestDiscovery(t, 10)
+	changed := fleet.Members[0]
+	for range historyKept + 1 {
+		d.publish(changed)
+	}
+	if l := d.watcher(t, 0, 1).next(); !l.Complete || l.Revision != historyKept+2 || len(l.Members) != 10 {
+		t.Errorf("told revision %d with %d members, whole %t", l.Revision, len(l.Members), l.Complete)
+	}
+}
+
+func TestAgentThatIsCutOffIsSilentAndTellsAllAtItsReturn(t *testing.T) {
+	d, fleet := newTestDiscovery(t, 10)
+	cut, other := d.watcher(t, 0, 1), d.watcher(t, 1, 1)
+	d.silence(true, 0)
+	d.publish(fleet.Members[5])
+	if l := other.next(); l.Revision != 2 {
+		t.Errorf("another agent tells revision %d first", l.Revision)
+	}
+	d.publish(fleet.Members[6])
+	text, _, silent, _ := d.news(0, 1)
+	if !silent || text != nil {
+		t.Errorf("an agent that is cut off has %q to tell", text)
+	}
+	d.silence(false, 0)
+	if l := cut.next(); l.Revision != 3 || len(l.Members) != 2 {
+		t.Errorf("at its return it tells revision %d with %d members", l.Revision, len(l.Members))
+	}
+}
+
+func TestTrafficIsCountedByAgent(t *testing.T) {
+	d, fleet := newTestDiscovery(t, 10)
+	w := d.watcher(t, 7, 1)
+	d.publish(fleet.Members[0])
+	w.next()
+	total, most, worst := d.sentSoFar()
+	if total < int64(len(fleet.change(2, phaseServing, 0, 0).text())) || most != total || worst <= 0 {
+		t.Errorf("%d bytes in all, %d of one agent, %d in a second", total, most, worst)
+	}
+	d.resetTraffic()
+	if total, _, _ := d.sentSoFar(); total != 0 {
+		t.Errorf("%d bytes after a reset", total)
+	}
+}
--- /dev/null
+++ b/internal/scale/machine.go
@@ -0,0 +1,73 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Machine tells on what a measurement was made.
+type Machine struct {
+	Cores    int    `json:"cores"`
+	MemoryMB int    `json:"memory_mb"`
+	Go       string `json:"go"`
+}
+
+func thisMachine() Machine {
+	total, _ := memoryField("/proc/meminfo", "MemTotal:") // 0 where the system does not tell
+	return Machine{Cores: runtime.NumCPU(), MemoryMB: int(total >> 20), Go: runtime.Version()}
+}
+
+// memoryField reads a figure in kB of a file of the proc file system, in bytes.
+func memoryField(path, name string) (int64, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		words := strings.Fields(lines.Text())
+		if len(words) >= 2 && words[0] == name {
+			kilobytes, err := strconv.ParseInt(words[1], 10, 64)
+			return kilobytes << 10, err
+		}
+	}
+	return 0, fmt.Errorf("%s: no line %s", path, name)
+}
+
+// residentMemory is what a process holds in memory, in bytes.
+func residentMemory(pid int) (int64, error) {
+	return memoryField(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
+}
+
+// ticksPerSecond is the unit of the system's figures of processor time.
+const ticksPerSecond = 100
+
+// processorTime is what a process has used of all cores.
+func processorTime(pid int) (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The second field is a name in brackets, which may hold blanks.
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return 0, fmt.Errorf("process %d: its statistics end early", pid)
+	}
+	sum := int64(0)
+	for _, field := range []string{fields[user], fields[system]} {
+		ticks, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += ticks
+	}
+	return time.Duration(sum) * time.Second / ticksPerSecond, nil
+}
--- /dev/null
+++ b/internal/scale/process.go
@@ -0,0 +1,227 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const (
+	readyWithin  = 30 * time.Second       // an ingress that is not ready by then has failed
+	endWithin    = 20 * time.Second       // and one that has not ended by then after SIGTERM
+	readyPause   = 2 * time.Millisecond   // between two questions whether it is
+	readyTimeout = 500 * time.Millisecond // of one such question
+)
+
+// processSpec is what one ingress process is told.
+type processSpec struct {
+	program   string
+	name      string
+	self      int
+	ingresses int
+	discovery string
+	known     *memberList
+	sockets   int
+}
+
+// process is a running ingress.
+type process struct {
+	command *exec.Cmd
+	folder  string
+	listen  string
+	ended   chan struct{}
+	err     error         // valid once ended is closed
+	ready   time.Duration // from its start to its first answer
+}
+
+// startProcess starts an ingress and waits until it is ready. The caller stops it.
+func startProcess(ctx context.Context, spec processSpec) (*process, error) {
+	folder, err := os.MkdirTemp("", "scale-")
+	if err != nil {
+		return nil, err
+	}
+	p := &process{folder: folder, ended: make(chan struct{})}
+	if err := p.start(ctx, spec); err != nil {
+		os.RemoveAll(folder)
+		return nil, err
+	}
+	if err := p.waitReady(ctx); err != nil {
+		p.stop()
+		return nil, fmt.Errorf("ingress %s: %w", spec.name, err)
+	}
+	return p, nil
+}
+
+func (p *process) start(ctx context.Context, spec processSpec) error {
+	listen, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	p.listen = listen
+	config := map[string]any{
+		"name": spec.name, "listen": listen, "discovery": spec.discovery, "seed": fmt.Sprintf("%x", spec.self+1),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": spec.sockets},
+		"settings": json.RawMessage(settings(spec.ingresses, spec.self)),
+	}
+	if spec.known != nil {
+		config["known"] = spec.known
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(p.folder, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	p.command = exec.CommandContext(ctx, spec.program)
+	p.command.Env = append(os.Environ(), "NODE_CONFIG="+path)
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	begun := time.Now()
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	p.ready = -time.Until(begun)
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+	return nil
+}
+
+var errNotReady = errors.New("it is not ready in time")
+
+// waitReady asks until the ingress answers that it is ready.
+func (p *process) waitReady(ctx context.Context) error {
+	begun := time.Now()
+	for time.Since(begun) < readyWithin {
+		select {
+		case <-p.ended:
+			return fmt.Errorf("it ended before it was ready: %w", p.err)
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyPause):
+		}
+		if answersPing(p.listen) {
+			p.ready += time.Since(begun)
+			return nil
+		}
+	}
+	return errNotReady
+}
+
+// answersPing tells whether an ingress lets clients in.
+func answersPing(address string) bool {
+	connection, err := net.DialTimeout("tcp", address, readyTimeout)
+	if err != nil {
+		return false
+	}
+	defer connection.Close()
+	connection.SetDeadline(time.Now().Add(readyTimeout))
+	if _, err := connection.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
+		return false
+	}
+	line, err := bufio.NewReader(connection).ReadString('\n')
+	return err == nil && line == "+PONG\r\n"
+}
+
+// stop ends the process, by force if it must.
+func (p *process) stop() {
+	defer os.RemoveAll(p.folder)
+	p.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(endWithin):
+		p.command.Process.Kill()
+		<-p.ended
+	}
+}
+
+// freeAddress is a loopback address on which nobody listens now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// start measures how long an ingress process takes to be ready, by the size of
+// the list that its configuration and discovery tell.
+func (m *measurement) start(size int) error {
+	fleet := newFleet(size, 1)
+	discovery, err := startDiscovery(fleet, 0)
+	if err != nil {
+		return err
+	}
+	defer discovery.close()
+	spec := processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
+		discovery: discovery.agentAddress(0), sockets: 1024}
+	for name, known := range map[string]*memberList{"start to ready, list known": &fleet, "start to ready, no list": nil} {
+		spec.known = known
+		p, err := startProcess(m.ctx, spec)
+		if err != nil {
+			return err
+		}
+		m.record(name, "ms", size, milliseconds(p.ready))
+		resident, err := residentMemory(p.command.Process.Pid)
+		p.stop()
+		if err != nil {
+			return err
+		}
+		m.record("resident memory after "+name, "MB", size, float64(resident)/1e6)
+	}
+	return nil
+}
+
+// connections measures the memory that idle connections of clients take.
+func (m *measurement) connections(size int) error {
+	fleet := newFleet(100, 1)
+	discovery, err := startDiscovery(fleet, 0)
+	if err != nil {
+		return err
+	}
+	defer discovery.close()
+	p, err := startProcess(m.ctx, processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
+		discovery: discovery.agentAddress(0), sockets: 2 * size * connectionsPart})
+	if err != nil {
+		return err
+	}
+	defer p.stop()
+	before, err := residentMemory(p.command.Process.Pid)
+	if err != nil {
+		return err
+	}
+	for range size {
+		connection, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			return err
+		}
+		defer connection.Close()
+		connection.SetDeadline(time.Now().Add(readyWithin))
+		if _, err := connection.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
+			return err
+		}
+		if _, err := bufio.NewReader(connection).ReadString('\n'); err != nil {
+			return err
+		}
+	}
+	after, err := residentMemory(p.command.Process.Pid)
+	if err != nil {
+		return err
+	}
+	m.record("resident memory for connections", "MB", size, float64(after-before)/1e6)
+	return nil
+}
+
+// connectionsPart is over the part of an ingress's sockets that clients may hold.
+const connectionsPart = 2
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,59 @@
+package scale
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markdown is a table of the slopes, with the minimum and the median at each size.
+func (s *Slopes) Markdown() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d cores, %d MB, %s; %d repetitions, minimum / median.\n", s.Machine.Cores, s.Machine.MemoryMB, s.Machine.Go, s.Repeats)
+	of := ""
+	for _, slope := range s.Slopes {
+		if slope.Of != of {
+			of = slope.Of
+			fmt.Fprintf(&text, "\n| cost by %s | unit |", of)
+			for _, p := range slope.Points {
+				fmt.Fprintf(&text, " %d |", p.Size)
+			}
+			fmt.Fprintf(&text, " per 1,000 | exponent | residual |\n| --- | --- |%s\n", strings.Repeat(" --- |", len(slope.Points)+3))
+		}
+		fmt.Fprintf(&text, "| %s | %s |", slope.Name, slope.Unit)
+		for _, p := range slope.Points {
+			fmt.Fprintf(&text, " %s / %s |", short(p.Min), short(p.Median))
+		}
+		fmt.Fprintf(&text, " %s | %.2f | %.0f%% |\n", short(slope.PerThousand), slope.Exponent, 100*slope.Residual)
+	}
+	return text.String()
+}
+
+// short is a number with three significant digits at most.
+func short(v float64) string { return fmt.Sprintf("%.3g", v) }
+
+// Markdown is a table of what each phase cost, and one of the figures; those over
+// their budget are marked.
+func (r *RunResult) Markdown() string {
+	var text strings.Builder
+	o := r.Options
+	fmt.Fprintf(&text, "%d cores, %d MB, %s; %d ingresses, %d of them real, before %d backends; %s requests a second to each real one; seed %d.\n",
+		r.Machine.Cores, r.Machine.MemoryMB, r.Machine.Go, o.Ingresses, o.Real, o.Backends, short(o.Rate), o.Seed)
+	text.WriteString("\n| phase | s | changes | lines | processor, % of a core | KB/s, mean | KB/s, most | worst second, MB to all | " +
+		"held: median, s | p99, s | last, s |\n| --- |" + strings.Repeat(" --- |", 10) + "\n")
+	for _, p := range r.Phases {
+		fmt.Fprintf(&text, "| %s | %s | %d | %d | %s | %s | %s | %s | %s | %s | %s |\n", p.Name, short(p.Seconds), p.Changes, p.Lines,
+			short(p.Processor), short(p.Bytes), short(p.MostBytes), short(p.Worst), short(p.Median), short(p.P99), short(p.Last))
+	}
+	text.WriteString("\n| figure | value | unit | budget | |\n| --- | --- | --- | --- | --- |\n")
+	for _, f := range r.Figures {
+		budget, mark := "", ""
+		if f.Budget != nil {
+			budget = short(f.Budget.Most)
+		}
+		if f.Over() {
+			mark = "**over budget**"
+		}
+		fmt.Fprintf(&text, "| %s | %s | %s | %s | %s |\n", f.Name, short(f.Value), f.Unit, budget, mark)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/scale/target.go
@@ -0,0 +1,44 @@
+package scale
+
+import "time"
+
+// The size for which the fleet is planned, and what it may cost there.
+const (
+	TargetIngresses         = 810
+	TargetBackends          = 12_000
+	TargetTenants           = 32_000
+	TargetRequestsPerSecond = 130_000
+	TargetRegions           = 2
+	TargetZonesPerRegion    = 4
+	TargetChangesPerDay     = 700 // of the configuration
+)
+
+// Budget bounds one figure.
+type Budget struct {
+	Name string  `json:"name"`
+	Most float64 `json:"most"`
+	Unit string  `json:"unit"`
+}
+
+// The budgets of the target size.
+var (
+	BudgetLatency     = Budget{"time added to 99 in 100 requests", 7.7, "ms"}
+	BudgetConvergence = Budget{"time until a change is in force everywhere", 9, "s"}
+	BudgetCPU         = Budget{"processor time for control, of a core", 2, "%"}
+	BudgetMemory      = Budget{"memory for control", 128, "MB"}
+	BudgetBytes       = Budget{"bytes received for control", 3, "KB/s"}
+	BudgetUnanswered  = Budget{"requests left unanswered", 0, "requests"}
+)
+
+// Figure is a measured value, with the budget that it must keep if there is one.
+type Figure struct {
+	Name   string  `json:"name"`
+	Value  float64 `json:"value"`
+	Unit   string  `json:"unit"`
+	Budget *Budget `json:"budget,omitempty"`
+}
+
+// Over tells whether the figure breaks its budget.
+func (f Figure) Over() bool { return f.Budget != nil && f.Value > f.Budget.Most }
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1e3 }
--- /dev/null
+++ b/internal/scale/timeline.go
@@ -0,0 +1,163 @@
+package scale
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// release replaces a part of the backends, a step at a time: some drain, and at
+// the next step they are gone and new ones are there, under new ids.
+func (r *run) release() error {
+	count := int(r.options.Replaced * float64(r.options.Backends))
+	return r.replace(0, count, releaseSteps, r.options.Release)
+}
+
+// replace replaces so many backends from a number on.
+func (r *run) replace(first, count, steps int, length time.Duration) error {
+	var draining []int
+	for step := range steps + 1 {
+		var changes []member
+		for _, number := range draining {
+			changes = append(changes, r.renew(number)...)
+		}
+		draining = nil
+		for number := first + step*count/steps; step < steps && number < first+(step+1)*count/steps; number++ {
+			draining = append(draining, number)
+			r.fleet.Members[number].Phase = phaseDraining
+			changes = append(changes, r.fleet.Members[number])
+		}
+		if len(changes) > 0 {
+			r.publish(changes...)
+		}
+		if err := r.sleep(length / time.Duration(steps+1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// renew replaces one backend by another at the same address and returns both lines.
+func (r *run) renew(number int) []member {
+	old := r.fleet.Members[number]
+	old.Phase = phaseDeleted
+	next := newMember(number, r.generation(old)+1, r.backends.port, time.Now().UnixMilli())
+	r.fleet.Members[number] = next
+	return []member{old, next}
+}
+
+// generation tells how often a backend was replaced, modulo what an id holds.
+func (r *run) generation(m member) int {
+	generation, err := strconv.ParseUint(m.ID[idNumberEnd:], 16, 8)
+	if err != nil {
+		panic(err) // newMember has written it
+	}
+	return int(generation)
+}
+
+// loseZone takes all backends of one zone away at once.
+func (r *run) loseZone() error {
+	lost := r.fleet.inZone(zones[1])
+	var addresses []string
+	var changes []member
+	for _, number := range lost {
+		gone := r.fleet.Members[number]
+		gone.Phase = phaseDeleted
+		changes = append(changes, gone)
+		addresses = append(addresses, gone.HostPort)
+	}
+	r.backends.setDown(true, addresses...)
+	r.publish(changes...)
+	return r.sleep(r.options.Zone / 2)
+}
+
+// returnZone starts the backends of that zone again, all at once.
+func (r *run) returnZone() error {
+	var addresses []string
+	var changes []member
+	for _, number := range r.fleet.inZone(zones[1]) {
+		back := &r.fleet.Members[number]
+		back.UpSince = time.Now().UnixMilli()
+		changes = append(changes, *back)
+		addresses = append(addresses, back.HostPort)
+	}
+	r.backends.setDown(false, addresses...)
+	r.publish(changes...)
+	return r.sleep(r.options.Zone / 2)
+}
+
+// half are the agents of every other ingress.
+func (r *run) half() (agents []int) {
+	for agent := 0; agent < r.options.Ingresses; agent += 2 {
+		agents = append(agents, agent)
+	}
+	return agents
+}
+
+// cutOff lets discovery be silent towards half of the ingresses, while a
+// replacement goes on that the others hear of.
+func (r *run) cutOff() error {
+	r.discovery.silence(true, r.half()...)
+	count := int(r.options.Replaced * float64(r.options.Backends) / 2)
+	first := r.options.Backends - count
+	err := r.replace(first, count, releaseStepsInCut, r.options.Cut)
+	for revision := range r.published {
+		r.excluded[revision] = true
+	}
+	return err
+}
+
+// reconnect lets discovery speak to all again, with one change more.
+func (r *run) reconnect() error {
+	changed := r.fleet.Members[0]
+	changed.Size = 1.5
+	r.fleet.Members[0] = changed
+	r.discovery.silence(false, r.half()...)
+	r.publish(changed)
+	return r.sleep(r.options.Quiet)
+}
+
+// sumUp holds the figures against their budgets.
+func (r *run) sumUp() {
+	result := r.result
+	var load LoadResult
+	for _, l := range result.Load {
+		load.Sent += l.Sent
+		load.Served += l.Served
+		load.Refused += l.Refused
+		load.Failed += l.Failed
+		load.Unanswered += l.Unanswered
+		load.P50, load.P99, load.Worst = max(load.P50, l.P50), max(load.P99, l.P99), max(load.Worst, l.Worst)
+	}
+	for _, p := range r.real {
+		if resident, err := residentMemory(p.command.Process.Pid); err == nil {
+			result.Resident = append(result.Resident, float64(resident)/1e6)
+		}
+	}
+	add := func(name string, value float64, unit string, budget *Budget) {
+		result.Figures = append(result.Figures, Figure{name, value, unit, budget})
+	}
+	for _, p := range result.Phases {
+		if p.Name == phaseStart {
+			continue
+		}
+		add("processor, "+p.Name, p.Processor, BudgetCPU.Unit, &BudgetCPU)
+		add("bytes, "+p.Name, p.Bytes, BudgetBytes.Unit, &BudgetBytes)
+		if p.Last > 0 {
+			add("last ingress to hold a change, "+p.Name, p.Last, BudgetConvergence.Unit, &BudgetConvergence)
+		}
+	}
+	add("memory of an ingress without clients", r.resident, BudgetMemory.Unit, &BudgetMemory)
+	add("of it in use", r.heap, BudgetMemory.Unit, nil)
+	if len(r.real) == 0 {
+		return
+	}
+	add("memory of a real ingress, the most", slices.Max(append(result.Resident, 0)), BudgetMemory.Unit, &BudgetMemory)
+	add("latency of real ingresses, p50", load.P50, "ms", nil)
+	add("latency of real ingresses, p99", load.P99, BudgetLatency.Unit, &BudgetLatency)
+	add("latency of real ingresses, worst", load.Worst, "ms", nil)
+	add("requests sent", float64(load.Sent), "requests", nil)
+	add("requests refused", float64(load.Refused), "requests", nil)
+	add("requests failed", float64(load.Failed), "requests", nil)
+	add("requests left unanswered", float64(load.Unanswered), BudgetUnanswered.Unit, &BudgetUnanswered)
+}
