Keep counts and sets of the fleet, so that nothing walks it per change or request

Change: choice/membership.go. Every backend knows its place in the fleet and in the sets of cold ones and of those with a kept connection; sizes, attempts out and ejections are counted; ejections end by a heap, kept connections by a queue. Customers are forgotten a few at a time, the longest idle first.

Decisions are the same by distribution; the order of the fleet after a removal differs, so single draws do. Tests hold counts and sets against a walk under random events, and fail for a count left out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,13 @@
 package choice
 
 // Every decision of the gateway stands in this file, in the order in which a
-// request meets them. The interface, its types, events and actions, stands in
-// choice/api.go. The mechanism and its source are told in docs/design.md.
+// request meets them; who is in the fleet stands in choice/membership.go. The
+// interface, its types, events and actions, stands in choice/api.go. The
+// mechanism and its source are told in docs/design.md.
 
 import (
+	"container/list"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -40,7 +41,7 @@
 	slotsPeriod  = 4    // slots of own history in one meter period
 	slotsKept    = 64   // slots of own history kept: lagMost periods and a little more
 	idlePeriods  = 60.0 // meter periods without a request after which a full customer is forgotten
-	sweepEvery   = 8.0  // meter periods between two sweeps of idle customers
+	sweepMost    = 8    // customers of a plan that are looked at in one sweep
 	failAverage  = 0.15 // weight of one outcome in a backend's share of failures
 	ejectOver    = 0.5  // share of failures at which a backend is ejected
 	ejectMost    = 0.4  // share of the ready fleet that may be ejected at once
@@ -90,16 +91,23 @@
 	born      time.Duration
 	slot      time.Duration // length of a slot of own history
 	customers map[account]*customer
+	idle      []list.List // the customers of each plan, the longest idle first
 	requests  map[uint32]*request
 	backends  map[uint32]*backend
-	cold      bool       // some of the fleet may be
-	warm      bool       // some of it were when last looked at
-	fleet     []*backend // the ready ones in order of arrival, for results that do not hang on map order
+	fleet     backendSet // the ready ones
+	cold      backendSet // those of the fleet that are cold, or were when last looked at
+	kept      backendSet // those of the fleet with an own connection that can be used again
+	heard     []hearing  // of those kept, the oldest first
+	sizes     float64    // of the fleet, in all
+	fleetOut  int        // attempts out at the fleet
+	coldOut   int        // and at its cold ones, when last looked at
+	listing   uint64     // number of the last list
+	ejections ejections
+	ejected   int // of the fleet, now
 	classes   []classSeen
 	advice    time.Duration   // given with a refusal
 	bank      float64         // further attempts that may be made
 	zones     map[int]float64 // share of failures by zone: a lost zone shows sooner than each of its backends
-	nextSweep time.Duration
 	nextStep  time.Duration
 	inflight  int           // place of "inflight" in a load report, or -1
 	probes    float64       // probes earned
@@ -135,7 +143,9 @@
 }
 
 type customer struct {
+	account  account
 	plan     *Plan
+	place    *list.Element // among the customers of its plan
 	spread   float64
 	last     time.Duration // last request
 	chance   float64       // a = 1 - b, held between updates
@@ -205,6 +215,8 @@
 	heard    time.Duration // last answer or time-out
 	kept     int           // own connections that carried an answer and are free again
 	until    time.Duration // ejected until
+	places   [setKinds]int // in each set, from 1; 0: not in it
+	listing  uint64        // the last list that named it
 }
 
 // New makes a gateway. Its error names the field of cfg that cannot be served.
@@ -242,7 +254,9 @@
 		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), now: now, born: now,
 		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
 		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
-		zones:   map[int]float64{},
+		zones: map[int]float64{},
+		fleet: backendSet{kind: fleetSet}, cold: backendSet{kind: coldSet}, kept: backendSet{kind: keptSet},
+		idle:    make([]list.List, len(cfg.Plans)),
 		classes: make([]classSeen, len(cfg.Classes)), bank: retryBank / 2, opened: 1, clear: 1,
 		inflight: slices.Index(cfg.ReportFields, "inflight"),
 		meter:    meterClock{lag: lagGuess * slotsPeriod},
@@ -300,7 +314,7 @@
 		p := &g.cfg.Plans[in.Plan]
 		// The part of the ceiling is empty at the gateway's start, for the life before may have drawn it all,
 		// and fills from then on, whether the customer is known or not.
-		c = &customer{plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
+		c = &customer{account: key, plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
 			ceilAt: g.born, count: ownCount{at: g.now}, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
 		if p.Rate <= 0 {
 			c.mean = startUse
@@ -311,7 +325,9 @@
 			c.slots[i] = slotUse{chance: float32(g.clear), met: 1}
 		}
 		g.customers[key] = c
+		c.place = g.idle[in.Plan].PushBack(c)
 	}
+	g.idle[in.Plan].MoveToBack(c.place)
 	c.spread = float64(min(max(in.Spread, 1), g.cfg.Gateways))
 	c.last = g.now
 	return c
@@ -544,18 +560,23 @@
 // fill moves the store by a period's gain, never below nothing nor above the burst.
 func (c *customer) fill(units float64) { c.store = min(max(c.store+units, 0), c.plan.Burst) }
 
-// sweep forgets idle customers, which would be met as new: a ceiling's part must be full again.
+// sweep forgets idle customers, which would be met as new: a ceiling's part must be full again. It looks at a
+// few that have been idle for longest.
 func (g *Gateway) sweep() {
-	if g.now < g.nextSweep {
-		return
-	}
-	period := max(g.cfg.MeterPeriod, 100*time.Millisecond)
-	g.nextSweep = g.now + time.Duration(sweepEvery*float64(period))
-	for id, c := range g.customers {
-		idle := g.now - c.last
-		full := idle.Seconds()*c.plan.CeilingRate >= c.plan.CeilingBurst
-		if full && c.open == 0 && idle > time.Duration(idlePeriods*float64(period)) {
-			delete(g.customers, id)
+	span := time.Duration(idlePeriods * float64(max(g.cfg.MeterPeriod, 100*time.Millisecond)))
+	for i := range g.idle {
+		for range min(sweepMost, g.idle[i].Len()) {
+			c := g.idle[i].Front().Value.(*customer)
+			idle := g.now - c.last
+			if idle <= span || idle.Seconds()*c.plan.CeilingRate < c.plan.CeilingBurst {
+				break
+			}
+			if c.open > 0 {
+				g.idle[i].MoveToBack(c.place)
+				continue
+			}
+			g.idle[i].Remove(c.place)
+			delete(g.customers, c.account)
 		}
 	}
 }
@@ -597,7 +618,7 @@
 // room is the window: this gateway's part of what the fleet works well with and what chance arrivals may add,
 // as far as it is open. Below one attempt it is met by chance, so that the sum over many gateways keeps.
 func (g *Gateway) room() float64 {
-	part := windowWidest * float64(len(g.fleet)) / float64(g.cfg.Gateways)
+	part := windowWidest * float64(g.fleet.size()) / float64(g.cfg.Gateways)
 	return g.opened * (part + windowSlack*math.Sqrt(part))
 }
 
@@ -628,12 +649,9 @@
 func (g *Gateway) pick(r *request) *backend {
 	var best *backend
 	cost := math.Inf(1)
-	var cold *backend
-	if g.cold {
-		cold = g.coldTurn()
-	}
+	cold, turns := g.coldTurn()
 	try := func(b *backend, healthy bool) {
-		if g.cold && g.warm && b != cold && g.warmth(b) < 1 {
+		if turns && b != cold && g.cold.has(b) {
 			return
 		}
 		unhealthy := g.now < b.until || g.silent(b) ||
@@ -649,17 +667,17 @@
 			return best
 		}
 	}
-	n := len(g.fleet)
+	n := g.fleet.size()
 	if few := max(pickLeast, pickFleets*n/g.cfg.Gateways); few < n {
 		for range few {
-			try(g.fleet[g.rng.IntN(n)], true)
+			try(g.fleet.members[g.rng.IntN(n)], true)
 		}
-		if b := g.kept(); b != nil {
+		if b := g.reusableOne(); b != nil {
 			try(b, true)
 		}
 	}
 	for healthy := true; best == nil; healthy = false {
-		for _, b := range g.fleet {
+		for _, b := range g.fleet.members {
 			try(b, healthy)
 		}
 		if !healthy {
@@ -686,25 +704,16 @@
 	return c * (1 + costChance*g.rng.Float64())
 }
 
-// kept returns a backend with an own connection that can be used again, or nil where handshakes cost
+// reusableOne returns a backend with an own connection that can be used again, or nil where handshakes cost
 // nothing or there are too few yet: the fewer backends each gateway keeps to, the less even is what all of
 // them send to one backend.
-func (g *Gateway) kept() (one *backend) {
-	if g.cfg.HandshakeCost <= 0 {
-		return nil
-	}
-	n := 0
-	for _, b := range g.fleet {
-		if g.reusable(b) {
-			if n++; g.rng.IntN(n) == 0 {
-				one = b
-			}
-		}
-	}
-	if float64(n*g.cfg.Gateways) < keptGateways*float64(len(g.fleet)) {
+func (g *Gateway) reusableOne() *backend {
+	g.dropIdle()
+	n := g.kept.size()
+	if n == 0 || float64(n*g.cfg.Gateways) < keptGateways*float64(g.fleet.size()) {
 		return nil
 	}
-	return one
+	return g.kept.members[g.rng.IntN(n)]
 }
 
 // reusable tells whether an own connection to b has carried an answer and is free.
@@ -756,49 +765,37 @@
 	return from + (1-from)*max(0, age.Seconds())/g.cfg.ColdFor.Seconds()
 }
 
-// coldTurn returns the cold backend whose turn it is, or nil for a warm one's. It is left to chance, by least
-// capacities: a cold backend falls under the sum of what all gateways send, and each of them may find it the
-// cheapest at the same moment, of a slow fleet above all. So that sum is its part of all requests, however
-// many gateways there are: no more than its capacity, of which the settings allow a multiple, as long as the
-// warm ones keep up with theirs. With no warm one there is nothing to measure by.
-func (g *Gateway) coldTurn() *backend {
-	sum, warm := 0.0, 0
-	for _, b := range g.fleet {
-		sum += g.size(b) * g.warmth(b)
-		if g.warmth(b) >= 1 {
-			warm++
-		}
-	}
-	g.warm, g.cold = warm > 0, warm < len(g.fleet) && g.cfg.Gateways > fewGateways
-	if !g.warm || !g.cold {
-		return nil
+// coldTurn returns the cold backend whose turn it is, or nil for a warm one's, and whether there are turns.
+// It is left to chance, by least capacities: a cold backend falls under the sum of what all gateways send,
+// and each of them may find it the cheapest at the same moment, of a slow fleet above all. So that sum is its
+// part of all requests, however many gateways there are: no more than its capacity, of which the settings
+// allow a multiple, as long as the warm ones keep up with theirs. With no warm one there is nothing to
+// measure by.
+func (g *Gateway) coldTurn() (one *backend, turns bool) {
+	g.warmUp()
+	if n := g.cold.size(); n == 0 || n == g.fleet.size() || g.cfg.Gateways <= fewGateways {
+		return nil, false
+	}
+	sum := g.sizes
+	for _, b := range g.cold.members {
+		sum -= g.size(b) * (1 - g.warmth(b))
 	}
 	at := g.rng.Float64() * sum
-	for _, b := range g.fleet {
+	for _, b := range g.cold.members {
 		if at -= g.size(b) * g.warmth(b); at < 0 {
-			if g.warmth(b) < 1 {
-				return b
-			}
-			break
+			return b, true
 		}
 	}
-	return nil
+	return nil, true
 }
 
 // coldRoom keeps the work out at a cold backend in step with what a warm one holds.
 func (g *Gateway) coldRoom(b *backend) bool {
-	w := g.warmth(b)
-	if w >= 1 || b.out == 0 {
+	if !g.cold.has(b) || b.out == 0 {
 		return true
 	}
-	sum, n := 0.0, 0.0
-	for _, o := range g.fleet {
-		if o != b && g.warmth(o) >= 1 {
-			sum += float64(o.out)
-			n++
-		}
-	}
-	return n > 0 && float64(b.out+1) <= w*sum/n
+	out, warm := g.fleetOut-g.coldOut, g.fleet.size()-g.cold.size()
+	return warm > 0 && float64(b.out+1) <= g.warmth(b)*float64(out)/float64(warm)
 }
 
 // judge ejects a backend that fails far more than the fleet does.
@@ -812,50 +809,14 @@
 	if !failed {
 		return
 	}
-	ejected := 1.0
-	for _, o := range g.fleet {
-		if g.now < o.until {
-			ejected++
-		}
-	}
-	if g.now >= b.until && b.fails > ejectOver && ejected <= ejectMost*float64(len(g.fleet)) {
+	g.expire()
+	if g.now >= b.until && b.fails > ejectOver && float64(g.ejected+1) <= ejectMost*float64(g.fleet.size()) {
 		span := ejectAims * g.longest.Seconds()
-		b.until = g.now + seconds(span*(0.8+0.4*g.rng.Float64()))
+		g.eject(b, g.now+seconds(span*(0.8+0.4*g.rng.Float64())))
 		b.fails = 0
 	}
 }
 
-// Members takes a list of backends from discovery.
-func (g *Gateway) Members(now time.Duration, kind ListKind, list []Backend) {
-	g.step(now)
-	if kind == Failed {
-		return
-	}
-	named := map[uint32]bool{}
-	for _, m := range list {
-		named[m.ID] = true
-		b := g.backends[m.ID]
-		if b == nil {
-			b = &backend{lat: 1}
-			g.backends[m.ID] = b
-		}
-		if b.Dated != m.Dated || b.Started != m.Started {
-			b.until, b.fails, b.lat, b.kept = 0, 0, 1, 0
-		}
-		if b.Backend = m; m.State == Ready && !slices.Contains(g.fleet, b) {
-			g.fleet = append(g.fleet, b)
-		}
-	}
-	maps.DeleteFunc(g.backends, func(id uint32, b *backend) bool {
-		if kind != Delta && !named[id] {
-			b.State = Removed
-		}
-		return b.State == Removed && b.out == 0
-	})
-	g.cold = true
-	g.fleet = slices.DeleteFunc(g.fleet, func(b *backend) bool { return b.State != Ready })
-}
-
 // Probed takes the answer to a probe.
 func (g *Gateway) Probed(now time.Duration, p Probe) {
 	g.step(now)
@@ -893,8 +854,11 @@
 	if b.out == 0 {
 		b.waiting = g.now
 	}
-	b.kept = max(0, b.kept-1)
+	if b.kept = max(0, b.kept-1); b.kept == 0 {
+		g.kept.remove(b)
+	}
 	b.out++
+	g.fleetOut++
 	g.out++
 	r.out++
 	r.cust.open++
@@ -935,8 +899,8 @@
 		return
 	}
 	for g.probes += probeShare; g.probes >= 1; g.probes-- {
-		g.turn = (g.turn + 1) % len(g.fleet)
-		g.act.Probe(g.fleet[g.turn].ID)
+		g.turn = (g.turn + 1) % g.fleet.size()
+		g.act.Probe(g.fleet.members[g.turn].ID)
 	}
 }
 
@@ -954,6 +918,10 @@
 	a.unsent = o.Status == ConnectFailed || o.Status == Moot
 	a.never = a.unsent || o.Status == Refused
 	a.to.out--
+	if g.fleet.has(a.to) {
+		g.fleetOut--
+	}
+	g.forget(a.to)
 	g.out--
 	r.out--
 	r.cust.open--
@@ -1006,6 +974,7 @@
 	}
 	if o.Status != Refused && o.Status != Cancelled && o.Status != Moot {
 		a.to.heard = g.now
+		g.keep(a.to)
 		g.judge(a.to, o.Status != OK, w)
 	}
 }
--- /dev/null
+++ b/choice/membership.go
@@ -0,0 +1,253 @@
+package choice
+
+import (
+	"container/heap"
+	"maps"
+	"time"
+)
+
+// The fleet: which backends there are, and which of them are cold, ejected, or reached by a kept connection.
+// One change of the list, and one request, cost the same however large the fleet is: what they ask of it is
+// counted, or stands in a set of its own.
+
+// setKind names a set of backends.
+type setKind int
+
+// The sets. A backend knows its place in each.
+const (
+	fleetSet setKind = iota
+	coldSet
+	keptSet
+	setKinds
+)
+
+// backendSet is a set whose order hangs on what happened alone, so that results do not hang on that of a map.
+type backendSet struct {
+	kind    setKind
+	members []*backend
+}
+
+func (s *backendSet) size() int { return len(s.members) }
+
+func (s *backendSet) has(b *backend) bool { return b.places[s.kind] > 0 }
+
+func (s *backendSet) add(b *backend) {
+	if !s.has(b) {
+		s.members = append(s.members, b)
+		b.places[s.kind] = len(s.members)
+	}
+}
+
+// remove moves the last member to the place that gets free.
+func (s *backendSet) remove(b *backend) {
+	if !s.has(b) {
+		return
+	}
+	place, last := b.places[s.kind]-1, len(s.members)-1
+	s.members[place] = s.members[last]
+	s.members[place].places[s.kind] = place + 1
+	s.members[last] = nil
+	s.members = s.members[:last]
+	b.places[s.kind] = 0
+}
+
+// Members takes a list of backends from discovery. It costs what the list names, and a complete list besides
+// what it does not name.
+func (g *Gateway) Members(now time.Duration, kind ListKind, list []Backend) {
+	g.step(now)
+	if kind == Failed {
+		return
+	}
+	g.listing++
+	for _, m := range list {
+		b := g.backends[m.ID]
+		if b == nil {
+			b = &backend{lat: 1}
+			g.backends[m.ID] = b
+		}
+		b.listing = g.listing
+		g.update(b, m)
+	}
+	if kind != Delta {
+		g.removeUnnamed()
+	}
+}
+
+// update gives a backend its new line.
+func (g *Gateway) update(b *backend, m Backend) {
+	if b.Dated != m.Dated || b.Started != m.Started {
+		g.pardon(b)
+		g.kept.remove(b)
+		b.fails, b.lat, b.kept = 0, 1, 0
+	}
+	if g.fleet.has(b) {
+		g.sizes -= g.size(b)
+	}
+	b.Backend = m
+	if m.State == Ready {
+		g.join(b)
+	} else if g.fleet.has(b) {
+		g.sizes += g.size(b)
+		g.leave(b)
+	}
+	g.forget(b)
+}
+
+// removeUnnamed removes what the last list did not name. It goes by the fleet's order, not the map's, since
+// the order of the fleet that is left shows in the results.
+func (g *Gateway) removeUnnamed() {
+	for place := g.fleet.size() - 1; place >= 0; place-- {
+		if b := g.fleet.members[place]; b.listing != g.listing {
+			g.leave(b)
+		}
+	}
+	maps.DeleteFunc(g.backends, func(_ uint32, b *backend) bool {
+		if b.listing != g.listing {
+			b.State = Removed
+		}
+		return b.State == Removed && b.out == 0
+	})
+}
+
+// forget drops a backend that was removed, once nothing is out at it.
+func (g *Gateway) forget(b *backend) {
+	if b.State == Removed && b.out == 0 && g.backends[b.ID] == b {
+		delete(g.backends, b.ID)
+	}
+}
+
+// join takes a backend with a new line into the fleet, if it is not there.
+func (g *Gateway) join(b *backend) {
+	g.sizes += g.size(b)
+	if g.warmth(b) < 1 {
+		g.cold.add(b)
+	} else {
+		g.cold.remove(b)
+	}
+	if g.fleet.has(b) {
+		return
+	}
+	g.expire()
+	g.fleet.add(b)
+	g.fleetOut += b.out
+	if g.now < b.until {
+		g.ejected++
+	}
+	g.keep(b)
+}
+
+// leave takes a backend out of the fleet.
+func (g *Gateway) leave(b *backend) {
+	g.expire()
+	if g.now < b.until {
+		g.ejected--
+	}
+	g.sizes -= g.size(b)
+	g.fleetOut -= b.out
+	g.fleet.remove(b)
+	g.cold.remove(b)
+	g.kept.remove(b)
+}
+
+// Cold backends.
+
+// warmUp takes those out of the cold ones that are warm by now, and adds up the attempts out at the others.
+// It walks the cold ones alone.
+func (g *Gateway) warmUp() {
+	g.coldOut = 0
+	for place := g.cold.size() - 1; place >= 0; place-- {
+		if b := g.cold.members[place]; g.warmth(b) >= 1 {
+			g.cold.remove(b)
+		} else {
+			g.coldOut += b.out
+		}
+	}
+}
+
+// Kept connections.
+
+// hearing is when a backend with a kept connection was heard of.
+type hearing struct {
+	at time.Duration
+	*backend
+}
+
+// keep takes a backend in which an own connection may be used again, as long as that is so.
+func (g *Gateway) keep(b *backend) {
+	if g.cfg.HandshakeCost <= 0 || !g.fleet.has(b) || !g.reusable(b) {
+		return
+	}
+	g.kept.add(b)
+	if g.cfg.ConnIdle > 0 {
+		g.dropIdle()
+		g.heard = append(g.heard, hearing{b.heard, b})
+	}
+}
+
+// dropIdle takes those out whose connections have been idle for too long since they were last heard of.
+func (g *Gateway) dropIdle() {
+	for len(g.heard) > 0 && g.now-g.heard[0].at > g.cfg.ConnIdle/2 {
+		if h := g.heard[0]; h.backend.heard == h.at {
+			g.kept.remove(h.backend)
+		}
+		g.heard = g.heard[1:]
+	}
+}
+
+// Ejections.
+
+// ejection is the end of one: of a backend's last, unless that was pardoned since.
+type ejection struct {
+	until time.Duration
+	*backend
+}
+
+// ejections is a heap of them, the next to end first.
+type ejections []ejection
+
+// Len implements heap.Interface, as do the methods below.
+func (e ejections) Len() int { return len(e) }
+
+// Less orders by the end.
+func (e ejections) Less(i, j int) bool { return e[i].until < e[j].until }
+
+// Swap exchanges two.
+func (e ejections) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push appends one.
+func (e *ejections) Push(last any) { *e = append(*e, last.(ejection)) }
+
+// Pop takes the last one off.
+func (e *ejections) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// eject keeps a backend from further requests until a time.
+func (g *Gateway) eject(b *backend, until time.Duration) {
+	b.until = until
+	heap.Push(&g.ejections, ejection{until, b})
+	if g.fleet.has(b) {
+		g.ejected++
+	}
+}
+
+// pardon ends a backend's ejection.
+func (g *Gateway) pardon(b *backend) {
+	g.expire()
+	if g.fleet.has(b) && g.now < b.until {
+		g.ejected--
+	}
+	b.until = 0
+}
+
+// expire counts no more the ejections that have ended.
+func (g *Gateway) expire() {
+	for len(g.ejections) > 0 && g.ejections[0].until <= g.now {
+		e := heap.Pop(&g.ejections).(ejection)
+		if e.backend.until == e.until && g.fleet.has(e.backend) {
+			g.ejected--
+		}
+	}
+}
--- /dev/null
+++ b/choice/membership_test.go
@@ -0,0 +1,164 @@
+package choice_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cedarseam/choice"
+)
+
+// fleetLine draws one line of a list of few backends.
+func fleetLine(t *rapid.T) choice.Backend {
+	b := choice.Backend{ID: uint32(rapid.IntRange(1, 8).Draw(t, "id")), Weight: rapid.SampledFrom([]float64{0.5, 1, 1.7}).Draw(t, "weight"),
+		State: rapid.SampledFrom([]choice.State{choice.Ready, choice.Ready, choice.Draining, choice.Removed}).Draw(t, "state")}
+	if rapid.IntRange(0, 3).Draw(t, "dated") == 0 {
+		b.Dated, b.Started = true, time.Duration(rapid.IntRange(0, 2).Draw(t, "start"))*time.Second
+	}
+	return b
+}
+
+// What is counted of the fleet is what a walk over it finds, whatever lists,
+// failures, ejections and ends of attempts come in whatever order.
+func TestCountsOfTheFleetAreThoseOfAWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rec := &lastSend{}
+		cfg := plain()
+		cfg.Gateways = rapid.SampledFrom([]int{4, 400}).Draw(t, "gateways")
+		cfg.HandshakeCost, cfg.ConnIdle = 0.1, time.Duration(rapid.IntRange(0, 2).Draw(t, "idle"))*2*time.Second
+		cfg.WeightsTrusted = true
+		g, err := choice.New(cfg, 7, 0, rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Members(0, choice.Full, backends(8))
+		now, id := time.Duration(0), uint32(0)
+		type attempt struct{ id, backend uint32 }
+		var out []attempt
+		for range rapid.IntRange(1, 120).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "wait")) * ms
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				g.Members(now, choice.Delta, rapid.SliceOfN(rapid.Custom(fleetLine), 0, 4).Draw(t, "change"))
+			case 1:
+				kind := rapid.SampledFrom([]choice.ListKind{choice.Full, choice.Cached, choice.Failed}).Draw(t, "kind")
+				g.Members(now, kind, rapid.SliceOfN(rapid.Custom(fleetLine), 4, 12).Draw(t, "list"))
+			case 2, 3, 4, 5:
+				id++
+				g.Request(now, choice.Request{ID: id, TimeLeft: 2 * time.Second, Units: 0.01, Spread: 4})
+				if rec.id == id {
+					out = append(out, attempt{id, rec.backend})
+				}
+			default:
+				if len(out) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(out)-1).Draw(t, "attempt")
+				status := rapid.SampledFrom([]choice.Status{choice.OK, choice.Error, choice.Error, choice.Timeout}).Draw(t, "status")
+				g.Outcome(now, choice.Outcome{ID: out[i].id, Backend: out[i].backend, Status: status, Elapsed: ms, Over: true})
+				out = slices.Delete(out, i, i+1)
+			}
+			if err := choice.CheckFleet(g); err != nil {
+				t.Fatalf("at %v: %v", now, err)
+			}
+		}
+	})
+}
+
+// The backends that a complete list leaves out go in an order of the gateway's
+// own: the same seed and events give the same actions.
+func TestCompleteListLeavesTheSameFleetEveryTime(t *testing.T) {
+	run := func() []string {
+		rec := record()
+		g, err := choice.New(plain(), 7, 0, rec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Members(0, choice.Full, backends(40))
+		g.Members(0, choice.Full, backends(40)[15:30])
+		for id := range uint32(60) {
+			g.Request(time.Duration(id)*10*ms, choice.Request{ID: id + 1, TimeLeft: time.Second, Units: 0.01, Spread: 4})
+		}
+		return rec.log
+	}
+	first := run()
+	for range 20 {
+		if again := run(); !slices.Equal(first, again) {
+			t.Fatalf("the actions are\n%v\nand\n%v", first, again)
+		}
+	}
+}
+
+// Customers who have been idle for long are forgotten a few at a time, however
+// many they are, but for those whose attempts are still out.
+func TestIdleCustomersAreForgottenAFewAtATime(t *testing.T) {
+	const many, few = 1000, 20
+	rec := &lastSend{}
+	cfg := plain()
+	cfg.Gateways = 1
+	g, err := choice.New(cfg, 7, 0, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Members(0, choice.Full, backends(200))
+	for id := uint32(1); id <= many; id++ {
+		g.Request(0, choice.Request{ID: id, Customer: uint64(id), TimeLeft: time.Hour, Units: 1, Spread: 1})
+		if rec.id == id && id != 500 {
+			g.Outcome(0, choice.Outcome{ID: id, Backend: rec.backend, Elapsed: ms, Over: true})
+		}
+	}
+	now, known := time.Duration(0), choice.Customers(g)
+	if known != many {
+		t.Fatalf("%d customers are known, want %d", known, many)
+	}
+	for events := 0; known > 1; events++ {
+		now += time.Minute
+		g.Timer(now, 0)
+		if left := choice.Customers(g); left < known-few || events > many {
+			t.Fatalf("event %d leaves %d customers of %d, want at most %d less", events, left, known, few)
+		} else {
+			known = left
+		}
+	}
+	g.Timer(now+time.Hour, 0)
+	if choice.Customers(g) != 1 {
+		t.Error("a customer whose attempt is out is forgotten")
+	}
+	g.Outcome(now+time.Hour, choice.Outcome{ID: 500, Backend: rec.backend, Elapsed: ms, Over: true})
+	if g.Timer(now+2*time.Hour, 0); choice.Customers(g) != 0 {
+		t.Error("he is not forgotten once it has ended")
+	}
+}
+
+// BenchmarkMembers measures one change, and a complete list, by the size of the fleet.
+func BenchmarkMembers(b *testing.B) {
+	for name, size := range map[string]uint32{"1500": 1500, "12000": 12_000, "24000": 24_000} {
+		list := backends(size)
+		start := func(b *testing.B) *choice.Gateway {
+			g, err := choice.New(plain(), 7, 0, &lastSend{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			g.Members(0, choice.Full, list)
+			b.ReportAllocs()
+			return g
+		}
+		b.Run("change/"+name, func(b *testing.B) {
+			g := start(b)
+			states := []choice.State{choice.Draining, choice.Ready}
+			for i := 0; b.Loop(); i++ {
+				line := list[i/2%len(list)]
+				line.State = states[i%2]
+				g.Members(0, choice.Delta, []choice.Backend{line})
+			}
+		})
+		b.Run("complete/"+name, func(b *testing.B) {
+			g := start(b)
+			for b.Loop() {
+				g.Members(0, choice.Full, list)
+			}
+		})
+	}
+}
