Let a list of backends cost what it changes

Every SIGHUP fetched the whole list, 1.7 MB at 12,000 backends.

Change: internal/membership decodes lists (lines that stand again are not decoded again) and compares them with what is held, beside the loop; sources hand the loop the changes alone, 128 at a time, drains and removals first, each part once the one before is taken. Work on a list rests every 0.5 ms, so that requests go on on the ingress's one processor. The pool counts what serves and links idle connections; the longest idle one makes room. SIGHUP at the address that is followed asks for nothing; the list of a new address is compared. backend.go is split into pool, attempt and conn.

Who has an address that two members name no longer hangs on the order of lists: the one that started last, draining or not; sending to the other would reach the draining one.

One expectation of a test changes: a second SIGHUP to the same address opened a second watch; now none must come (TestDiscoveryMovesToANewAddress, TestUnchangedAddressIsNotAskedAgain).

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 func TestRequestGoesOnUnchangedButForItsTimeLimit(t *testing.T) {
@@ -243,7 +245,7 @@
 	d.Close()
 	r := serve(t, d, func(cfg *Config) {
 		cfg.Discovery = addr
-		cfg.Known = memberList{Complete: true, Members: []member{b.member("b")}}
+		cfg.Known = membership.List{Complete: true, Members: []*membership.Member{b.member("b")}}
 	})
 	c := r.dial()
 	for line := ""; line != "+PONG"; {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -3,7 +3,7 @@
 // actions; it decides nothing itself.
 //
 // One goroutine owns the gateway (loop.go). Goroutines of connections do the
-// I/O and send it events: client.go towards clients, backend.go towards
+// I/O and send it events: client.go towards clients, conn.go towards
 // backends, discovery.go towards discovery. command.go reads and writes the
 // protocol.
 package ingress
@@ -19,6 +19,7 @@
 	"time"
 
 	"cedarseam/choice"
+	"cedarseam/internal/membership"
 	"cedarseam/internal/wire"
 )
 
@@ -42,6 +43,8 @@
 	keptSockets    = 12
 	defaultSockets = 1024
 	defaultMemory  = 192
+	listShare      = 16      // of the memory: what the text of one list may take
+	listLeast      = 4 << 20 // bytes that it may take in any case
 )
 
 // Apply sets the Go runtime's bounds for the whole process.
@@ -54,6 +57,9 @@
 func (l Limits) clients() int  { return max(1, int(clientShare*float64(l.Sockets-keptSockets))) }
 func (l Limits) backends() int { return max(1, int(backendShare*float64(l.Sockets-keptSockets))) }
 
+// list bounds the text of a list of backends, in bytes.
+func (l Limits) list() int { return max(listLeast, l.MemoryMB<<20/listShare) }
+
 // Config is all that one ingress is told at its start.
 type Config struct {
 	Name      string
@@ -61,7 +67,7 @@
 	Discovery string
 	Seed      uint64
 	Limits    Limits
-	Known     memberList
+	Known     membership.List
 	Choice    choice.Config
 
 	classes        map[string]int
@@ -117,7 +123,7 @@
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     memberList      `json:"known"`
+		Known     membership.List `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,223 @@
+package ingress
+
+import (
+	"container/list"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedarseam/choice"
+)
+
+const (
+	readBuffer = 4 << 10
+	idleShare  = 0.6 // of the time after which a backend closes an idle connection
+	// answerStall is how long an answer that has begun may stay without its
+	// end, twice: a read that was late itself must not count.
+	answerStall = 150 * time.Millisecond
+)
+
+// longAgo is a deadline that wakes whatever waits on a connection.
+var longAgo = time.Unix(1, 0)
+
+// conn is a connection to a backend. It carries one attempt at a time: answers
+// come in order, and giving one up closes the connection.
+type conn struct {
+	nc   net.Conn
+	to   *backend
+	pool *pool
+
+	rested time.Time     // when it carried its last answer; the loop's
+	place  *list.Element // among the idle connections of the pool; the loop's
+	stalls int           // deadlines that the answer now coming has passed; only the reader's
+
+	mu      sync.Mutex
+	current *attempt
+	dead    bool
+}
+
+// retire closes an idle connection, by way of its reader.
+func (c *conn) retire() { c.nc.SetReadDeadline(longAgo) }
+
+// send writes the attempt. It returns false if the connection had closed
+// before the first byte; else the reader ends the attempt.
+func (c *conn) send(a *attempt) bool {
+	c.mu.Lock()
+	if c.dead || !c.quiet() {
+		c.mu.Unlock()
+		c.retire()
+		return false
+	}
+	c.current = a
+	c.mu.Unlock()
+	defer close(a.wrote)
+	a.mu.Lock()
+	// The last look before the first byte: a backend that was told to drain
+	// while the attempt waited for its connection must get nothing new, and
+	// none gets what is for nobody any more.
+	if a.aborted || a.moot || a.to.stopped.Load() {
+		a.mu.Unlock()
+		c.retire()
+		return true
+	}
+	a.conn = c
+	c.nc.SetDeadline(a.deadline)
+	a.mu.Unlock()
+	message := a.message()
+	n, _ := c.nc.Write(message)
+	a.whole = n == len(message)
+	if !a.whole {
+		c.retire()
+	}
+	return true
+}
+
+// quiet tells that nothing waits to be read. The reader of an idle connection
+// may not have seen yet what came a moment ago, an end or a second copy of the
+// last answer; written to such a connection, a payment would be lost.
+func (c *conn) quiet() bool {
+	sys, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+}
+
+// stall limits the wait for the rest of an answer that has begun.
+func (c *conn) stall(a *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.aborted {
+		return
+	}
+	until := time.Now().Add(answerStall)
+	if until.After(a.deadline) {
+		until = a.deadline
+	}
+	c.nc.SetReadDeadline(until)
+}
+
+// read takes the answers until the connection ends, and ends each attempt. It
+// also notices when an idle connection closes or has been idle for too long.
+func (c *conn) read() {
+	buf := make([]byte, 0, readBuffer)
+	for {
+		n, err := c.nc.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		c.mu.Lock()
+		a := c.current
+		c.dead = a == nil // closed, idle for too long, or speaking out of turn
+		c.mu.Unlock()
+		if a == nil {
+			c.close()
+			c.pool.closed(c)
+			return
+		}
+		<-a.wrote // an answer may be here before the writer has gone on
+		if n > 0 {
+			answer, used, bad := c.pool.cfg.nextReply(buf)
+			if bad == nil && used > 0 {
+				if err == nil && a.whole && used == len(buf) && c.release(a) {
+					buf = buf[:0]
+					if cap(buf) > readBuffer {
+						buf = make([]byte, 0, readBuffer)
+					}
+					a.end(answer, c)
+					continue
+				}
+				c.close()
+				a.end(answer, nil)
+				return
+			}
+			if bad != nil {
+				err = bad
+			} else if len(buf) == cap(buf) {
+				buf = slices.Grow(buf, len(buf))
+			}
+		}
+		if err == nil {
+			if c.stalls == 0 {
+				c.stalls = 1
+				c.stall(a)
+			}
+			continue
+		}
+		status := a.unsent()
+		if a.whole {
+			status = a.broken(err)
+		}
+		if status == choice.OK {
+			if c.stalls == 0 {
+				continue
+			}
+			if c.stalls == 1 {
+				c.stalls = 2
+				c.stall(a)
+				continue
+			}
+			// It has the request and will not say more of it: the client's time
+			// is worth more than the hope for the rest.
+			status = choice.Error
+		}
+		// Closed before the outcome is told: a second attempt must not overlap.
+		c.close()
+		a.end(reply{status: status}, nil)
+		return
+	}
+}
+
+// broken tells what the end of its connection makes of an attempt that was
+// written whole. OK means that it goes on: the deadline of the idle connection
+// passed just before.
+func (a *attempt) broken(err error) choice.Status {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.aborted:
+		return choice.Cancelled
+	case errors.Is(err, errMalformed), errors.Is(err, errTooLong):
+		return choice.Error // the backend lives and has run it
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return choice.Reset
+	case time.Now().Before(a.deadline):
+		return choice.OK
+	}
+	return choice.Timeout
+}
+
+// release makes the connection idle again. It returns false if the attempt has
+// been aborted, which closes the connection.
+func (c *conn) release(a *attempt) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+	if a.aborted {
+		return false
+	}
+	c.stalls = 0
+	// Well before the backend closes it: a request written to a connection
+	// that the backend has closed ends as a reset, which an unsafe request
+	// cannot repeat.
+	c.nc.SetReadDeadline(time.Now().Add(time.Duration(idleShare * float64(c.pool.cfg.connIdle))))
+	c.mu.Lock()
+	c.current = nil
+	c.mu.Unlock()
+	return true
+}
+
+func (c *conn) close() {
+	c.nc.Close()
+	c.pool.open.Add(-1)
+}
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
-	"cedarseam/choice"
+	"cedarseam/internal/membership"
 )
 
+// changesAtOnce is how many changes of the list the loop takes before it looks
+// at other events: they hold it for a fraction of a millisecond.
+const changesAtOnce = 128
+
 // core is what follows discovery and decides, with or without clients.
 type core struct {
 	cfg     *Config
@@ -16,33 +20,21 @@
 	sources *sources
 }
 
-// newCore makes a core. applied, if it is not nil, is called on the loop's
-// goroutine with the revision of each list once all of it is in force.
-func newCore(cfg Config, applied func(revision int64)) (*core, error) {
+func newCore(cfg Config) (*core, error) {
 	l, err := newLoop(&cfg)
 	if err != nil {
 		return nil, err
 	}
-	deliver := func(list memberList) {
-		kind := choice.Delta
-		if list.Complete {
-			kind = choice.Full
-		}
-		l.post(func(l *loop) {
-			l.members(kind, list)
-			if applied != nil {
-				applied(list.Revision)
-			}
-		})
-	}
-	return &core{cfg: &cfg, loop: l, sources: newSources(cfg.pace(), deliver)}, nil
+	view := membership.NewView()
+	l.change(view.Apply(cfg.Known, nil))
+	return &core{cfg: &cfg, loop: l, sources: newSources(cfg.pace(), cfg.Limits.list(), view, l.changeInParts)}, nil
 }
 
 // start runs the loop and follows discovery. The function that it returns ends both.
 func (c *core) start() (stop func()) {
 	stopped := make(chan struct{})
 	go c.loop.run(stopped)
-	var known *memberList
+	var known *membership.List
 	if c.cfg.Known.Complete {
 		known = &c.cfg.Known
 	}
@@ -57,16 +49,22 @@
 // Control is an ingress without the sockets of clients: it follows discovery and
 // keeps the gateway's state, and costs what an ingress spends while nobody asks
 // anything of it.
-type Control struct{ core *core }
+type Control struct {
+	core *core
+	memo membership.Memo
+}
 
 // NewControl makes a Control. applied, if it is not nil, is called with the
 // revision of each list once all of it is in force.
 func NewControl(cfg Config, applied func(revision int64)) (*Control, error) {
-	c, err := newCore(cfg, applied)
+	c, err := newCore(cfg)
 	if err != nil {
 		return nil, err
 	}
-	return &Control{c}, nil
+	if applied != nil {
+		c.sources.applied = applied
+	}
+	return &Control{core: c}, nil
 }
 
 // Run follows discovery until ctx ends.
@@ -78,25 +76,28 @@
 
 // Applied tells what one list or change of it cost.
 type Applied struct {
-	Decode  time.Duration // from its text to what the loop is told, beside the loop
+	Decode  time.Duration // from its text to what it changes, beside the loop
 	Loop    time.Duration // on the loop's goroutine
 	Longest time.Duration // the longest that it kept the loop from anything else
 }
 
-// Apply takes the text of one list on the caller's goroutine and measures it.
-// It must not be called while Run runs.
+// Apply takes the text of one list on the caller's goroutine, without rests, and
+// measures it. It must not be called while Run runs.
 func (c *Control) Apply(text []byte) (Applied, error) {
+	var cost Applied
 	begun := time.Now()
-	var list memberList
-	if err := json.Unmarshal(text, &list); err != nil {
-		return Applied{}, fmt.Errorf("list: %w", err)
+	list, err := membership.Decode(text, &c.memo)
+	if err != nil {
+		return cost, fmt.Errorf("list: %w", err)
 	}
-	decoded := time.Now()
-	kind := choice.Delta
-	if list.Complete {
-		kind = choice.Full
+	changes := c.core.sources.view.Apply(list, nil)
+	cost.Decode = time.Since(begun)
+	for part := range slices.Chunk(changes, changesAtOnce) {
+		begun = time.Now()
+		c.core.loop.change(part)
+		hold := time.Since(begun)
+		cost.Loop += hold
+		cost.Longest = max(cost.Longest, hold)
 	}
-	c.core.loop.members(kind, list)
-	hold := time.Since(decoded)
-	return Applied{Decode: decoded.Sub(begun), Loop: hold, Longest: hold}, nil
+	return cost, nil
 }
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -1,10 +1,8 @@
 package ingress
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +13,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"cedarseam/internal/membership"
 )
 
 const (
@@ -24,8 +24,6 @@
 	// never arrived: so much after a watch fell silent, and so much after
 	// discovery had it and could be reached, whatever calls failed before.
 	toldAfter = 6 * time.Second
-	// maxWord bounds a list, and a change of one.
-	maxWord = 4 << 20
 	// firstTry is how long clients are held up for the first word of discovery:
 	// an agent that has a list answers at once, and an overbooked service may
 	// let a restarted ingress wait for seconds while its last list would do.
@@ -102,107 +100,29 @@
 		first: wait(askedFirst), longest: wait(askedLongest), due: due, jitter: askedJitter, spread: askedSpread}
 }
 
-// memberList is a list of backends, or the changes to one, as discovery sends it.
-type memberList struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-}
-
-type member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
-
-// The phases of a member.
-const (
-	phaseServing  = "SERVING"
-	phaseDraining = "DRAINING"
-	phaseDeleted  = "DELETED"
-)
-
 // discovery follows the list of backends and hands each part of it on, in order.
 type discovery struct {
 	pace
 	base     string
+	most     int // bytes of one list
 	client   *http.Client
 	patience time.Duration // of those who wait for the first try
-	deliver  func(memberList)
+	deliver  func(membership.List)
 	failing  bool      // as last reported
 	called   time.Time // the start of the last call
 	heard    time.Time // its last word; zero: none
 	failures int       // calls without a word since the last one
 	have     bool      // a list
+	memo     membership.Memo
 	retry    backoff.ExponentialBackOff
 	chance   func() float64 // from 0 to 1
 }
 
-// sources follows discovery at one address, and moves to another without a gap:
-// the address before stays in force until the new one has told its whole list.
-type sources struct {
-	deliver func(memberList)
-	pace    pace
-	ctx     context.Context
-	close   context.CancelFunc
-
-	mu      sync.Mutex
-	current *source // whose list is in force
-	next    *source // which has told nothing yet
-}
-
-type source struct{ leave context.CancelFunc }
-
-func newSources(p pace, deliver func(memberList)) *sources {
-	s := &sources{pace: p, deliver: deliver}
-	s.ctx, s.close = context.WithCancel(context.Background())
-	return s
-}
-
-// follow moves to an address. known is the list held as that address told it,
-// or nil. started is called after the first try, whether it went well or not.
-func (s *sources) follow(addr string, known *memberList, started func()) {
-	ctx, leave := context.WithCancel(s.ctx)
-	src := &source{leave}
-	s.mu.Lock()
-	if s.next != nil {
-		s.next.leave()
-	}
-	s.next = src
-	s.mu.Unlock()
-	d := newDiscovery(addr, s.pace, func(l memberList) { s.take(src, l) })
-	go func() {
-		d.run(ctx, known, started)
-		d.client.CloseIdleConnections()
-	}()
-}
-
-// take hands on what a source tells. Revisions of one address mean nothing at
-// another, so a line of the old one that comes after the list of the new one
-// is dropped.
-func (s *sources) take(from *source, l memberList) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if from == s.next {
-		if s.current != nil {
-			s.current.leave()
-		}
-		s.current, s.next = from, nil
-	}
-	if from == s.current {
-		s.deliver(l)
-	}
-}
-
-func newDiscovery(addr string, p pace, deliver func(memberList)) *discovery {
+func newDiscovery(address string, p pace, most int, deliver func(membership.List)) *discovery {
 	return &discovery{
 		pace:     p,
-		base:     "http://" + addr + "/api/targets",
+		most:     most,
+		base:     "http://" + address + "/api/targets",
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
 		patience: firstTry,
 		deliver:  deliver,
@@ -213,18 +133,26 @@
 }
 
 // fetch gets the whole list.
-func (d *discovery) fetch(ctx context.Context) (l memberList, err error) {
+func (d *discovery) fetch(ctx context.Context) (membership.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.list)
 	defer cancel()
 	resp, err := d.get(ctx, d.base)
 	if err != nil {
-		return l, err
+		return membership.List{}, err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxWord)).Decode(&l); err != nil {
-		return l, fmt.Errorf("discovery: list: %w", err)
+	list, err := d.decoder(resp.Body).Next(0)
+	if err != nil {
+		return membership.List{}, fmt.Errorf("discovery: list: %w", err)
 	}
-	return l, nil
+	return list, nil
+}
+
+// decoder reads the lists of an answer.
+func (d *discovery) decoder(body io.Reader) *membership.Decoder {
+	decoder := membership.NewDecoder(body, d.most, &d.memo)
+	decoder.Pause = newPacer().pause
+	return decoder
 }
 
 func (d *discovery) get(ctx context.Context, url string) (*http.Response, error) {
@@ -248,7 +176,7 @@
 // that starts at once serves that sooner than all lines again. Without one it
 // fetches the list first. started is called once, when the first try went well
 // or wrong, or has taken all patience.
-func (d *discovery) run(ctx context.Context, known *memberList, started func()) {
+func (d *discovery) run(ctx context.Context, known *membership.List, started func()) {
 	if started != nil {
 		once := sync.OnceFunc(started)
 		defer time.AfterFunc(d.patience, once).Stop()
@@ -337,66 +265,34 @@
 		return revision, cmp.Or(context.Cause(ctx), err)
 	}
 	defer resp.Body.Close()
-	words := &words{from: resp.Body, spoken: func() {
+	heard := func() {
 		// An overbooked service may take a watch and break it before its first
 		// word, so only a word ends the backoff.
 		d.report(ctx, nil)
 		d.retry.Reset()
 		d.heard = time.Now()
 		alarm.Reset(d.silence)
-	}}
-	words.empty = func() {
-		d.deliver(memberList{Revision: revision}) // nothing has changed
+	}
+	lists := d.decoder(resp.Body)
+	// Only an empty line, or the start of a list, is a word of the other side: a
+	// list that has begun and goes on for ever, or stops in its middle, is a
+	// silence like any other.
+	lists.Begun = heard
+	lists.Empty = func() {
+		heard()
+		d.deliver(membership.List{Revision: revision}) // nothing has changed
 		told()
 	}
-	lists := json.NewDecoder(words)
 	for {
-		l := memberList{Revision: revision}
-		if err := lists.Decode(&l); err != nil {
+		list, err := lists.Next(revision)
+		if err != nil {
 			return revision, fmt.Errorf("discovery: watch: %w", cmp.Or(context.Cause(ctx), err))
 		}
-		words.spoken()
-		words.next(lists.Buffered())
-		revision = l.Revision
-		d.deliver(l)
+		heard()
+		revision = list.Revision
+		d.deliver(list)
 		told()
 	}
 }
 
 var errSilence = errors.New("no word came in time")
-
-// words reads a watch: lists, each on a line or on several, and empty lines
-// between them. Only an empty line, or the start of a list, is a word of the
-// other side: a list that has begun and goes on for ever, or stops in its
-// middle, is a silence like any other.
-type words struct {
-	from   io.Reader
-	spoken func() // a word has come
-	empty  func() // it was an empty line
-	inside bool   // a list has begun
-	size   int    // bytes of it
-}
-
-// next tells that a list is whole. What came behind it may begin another.
-func (w *words) next(behind io.Reader) {
-	rest, _ := io.ReadAll(behind)
-	w.inside, w.size = len(bytes.TrimSpace(rest)) > 0, len(rest)
-}
-
-func (w *words) Read(p []byte) (int, error) {
-	n, err := w.from.Read(p)
-	switch text := p[:n]; {
-	case w.inside:
-	case len(bytes.TrimSpace(text)) > 0:
-		w.inside = true
-		w.spoken()
-	case bytes.IndexByte(text, '\n') >= 0:
-		w.spoken()
-		w.empty()
-		return n, err
-	}
-	if w.size += n; w.size > maxWord {
-		return n, errTooLong
-	}
-	return n, err
-}
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -10,12 +10,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"cedarseam/choice"
+	"cedarseam/internal/membership"
 )
 
 // eventually waits until something holds of the loop.
@@ -74,11 +75,11 @@
 	b := newBackend(t)
 	f := newFakeDiscovery(t, b.member("b"))
 	close(f.gate)
-	got := make(chan memberList, 10)
-	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(l memberList) { got <- l })
+	got := make(chan membership.List, 10)
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), listLeast, func(l membership.List) { got <- l })
 	d.silence = 50 * time.Millisecond
 	go d.run(t.Context(), nil, nil)
-	if l := wait(t, "the list", got); !l.Complete || len(l.Members) != 1 || l.Members[0] != b.member("b") {
+	if l := wait(t, "the list", got); !l.Complete || len(l.Members) != 1 || *l.Members[0] != *b.member("b") {
 		t.Errorf("the list is %+v", l)
 	}
 	wait(t, "a watch", f.watched)
@@ -87,7 +88,7 @@
 
 func TestDiscoveryIsTriedAgain(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), listLeast, func(membership.List) {})
 	d.patience = 20 * time.Millisecond
 	started := make(chan struct{}, 10)
 	go d.run(t.Context(), nil, func() { started <- struct{}{} })
@@ -102,10 +103,10 @@
 func TestKnownListIsWatchedFromItsRevision(t *testing.T) {
 	b := newBackend(t)
 	f := newFakeDiscovery(t, b.member("b")) // its gate is closed: the whole list is never told
-	got, started := make(chan memberList, 10), make(chan struct{}, 10)
-	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(l memberList) { got <- l })
+	got, started := make(chan membership.List, 10), make(chan struct{}, 10)
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), listLeast, func(l membership.List) { got <- l })
 	d.patience = time.Hour
-	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, func() { started <- struct{}{} })
+	go d.run(t.Context(), &membership.List{Revision: 5, Complete: true}, func() { started <- struct{}{} })
 	if index := wait(t, "a watch", f.watched); index != "5" {
 		t.Errorf("the watch begins at %s, want the known 5", index)
 	}
@@ -125,10 +126,10 @@
 // list that is known serves until it answers.
 func TestWaitingCallHoldsNobodyUp(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), listLeast, func(membership.List) {})
 	d.patience = time.Millisecond
 	started := make(chan struct{}, 10)
-	go d.run(t.Context(), &memberList{Complete: true}, func() { started <- struct{}{} })
+	go d.run(t.Context(), &membership.List{Complete: true}, func() { started <- struct{}{} })
 	wait(t, "the start, though the watch tells nothing", started)
 	wait(t, "the watch to be open all the same", f.watched)
 	idle(t, "a second watch", f.watched)
@@ -137,15 +138,15 @@
 // A list may come indented, over several lines and in several parts.
 func TestIndentedListsAreFollowed(t *testing.T) {
 	f := newFakeDiscovery(t)
-	got := make(chan memberList, 10)
-	d := newDiscovery(f.Listener.Addr().String(), pushed(time.Hour), func(l memberList) { got <- l })
-	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	got := make(chan membership.List, 10)
+	d := newDiscovery(f.Listener.Addr().String(), pushed(time.Hour), listLeast, func(l membership.List) { got <- l })
+	go d.run(t.Context(), &membership.List{Revision: 5, Complete: true}, nil)
 	wait(t, "a watch", f.watched)
 	for _, text := range []string{"{", `  "revision": 8,`, `  "complete": false,`, `  "members": [`,
 		`    {"id": "b",`, "", `     "phase": "DRAINING"}`, "  ]", `} {"revision":9,"complete":false,`, `"members":[]}`} {
 		f.lines <- text
 	}
-	if l := wait(t, "the change", got); l.Revision != 8 || len(l.Members) != 1 || l.Members[0] != (member{ID: "b", Phase: phaseDraining}) {
+	if l := wait(t, "the change", got); l.Revision != 8 || len(l.Members) != 1 || *l.Members[0] != (membership.Member{ID: "b", Phase: membership.PhaseDraining}) {
 		t.Errorf("the change is %+v", l)
 	}
 	if l := wait(t, "the change behind it", got); l.Revision != 9 || l.Complete {
@@ -165,12 +166,12 @@
 	f := newFakeDiscovery(t)
 	p := pushed(time.Hour)
 	p.silence, p.first, p.longest = 50*time.Millisecond, time.Millisecond, time.Millisecond
-	d := newDiscovery(f.Listener.Addr().String(), p, func(l memberList) {
+	d := newDiscovery(f.Listener.Addr().String(), p, listLeast, func(l membership.List) {
 		if l.Revision != 5 || len(l.Members) > 0 {
 			t.Errorf("half a list is handed on: %+v", l)
 		}
 	})
-	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	go d.run(t.Context(), &membership.List{Revision: 5, Complete: true}, nil)
 	wait(t, "a watch", f.watched)
 	f.lines <- ""
 	f.lines <- `{"revision":8,"complete":true,"members":[`
@@ -188,11 +189,11 @@
 // What can't be read is dropped, and the watch goes on from the last list.
 func TestSpoiltListIsDroppedAndTheWatchBegunAnew(t *testing.T) {
 	f := newFakeDiscovery(t)
-	got := make(chan memberList, 10)
+	got := make(chan membership.List, 10)
 	p := pushed(time.Hour)
 	p.first, p.longest = time.Millisecond, time.Millisecond
-	d := newDiscovery(f.Listener.Addr().String(), p, func(l memberList) { got <- l })
-	go d.run(t.Context(), &memberList{Revision: 5, Complete: true}, nil)
+	d := newDiscovery(f.Listener.Addr().String(), p, listLeast, func(l membership.List) { got <- l })
+	go d.run(t.Context(), &membership.List{Revision: 5, Complete: true}, nil)
 	for _, spoilt := range []string{"noise", "}", `{"revision":"x"}`, `{"revision":8,"members":{}}`, `[{}]`, `{"members":[{"id":5}]}`} {
 		if index := wait(t, "a watch", f.watched); index != "5" {
 			t.Errorf("the watch begins at %s, want 5", index)
@@ -220,10 +221,10 @@
 		}))
 		p := pushed(time.Hour)
 		p.answer, p.list, p.first, p.longest = 20*time.Millisecond, 20*time.Millisecond, time.Millisecond, time.Millisecond
-		for _, known := range []*memberList{nil, {Revision: 5, Complete: true}} {
+		for _, known := range []*membership.List{nil, {Revision: 5, Complete: true}} {
 			ctx, stop := context.WithCancel(t.Context())
 			ended := make(chan struct{})
-			d := newDiscovery(s.Listener.Addr().String(), p, func(l memberList) { t.Errorf("%s: %+v is told", name, l) })
+			d := newDiscovery(s.Listener.Addr().String(), p, listLeast, func(l membership.List) { t.Errorf("%s: %+v is told", name, l) })
 			go func() { d.run(ctx, known, nil); close(ended) }()
 			for range 3 {
 				wait(t, "a call", called)
@@ -247,7 +248,7 @@
 		if grace == 0 {
 			grace = pushedGrace
 		}
-		d := newDiscovery("", p, nil)
+		d := newDiscovery("", p, listLeast, nil)
 		now := time.Now()
 		d.heard = now.Add(-p.silence)
 		for range 100 {
@@ -371,13 +372,13 @@
 
 // follow lets a tier follow the service for so long, each with the list known
 // if there is one, and returns when each ingress first had the new one.
-func (s *service) follow(gateways int, grace, length time.Duration, known *memberList) []time.Duration {
+func (s *service) follow(gateways int, grace, length time.Duration, known *membership.List) []time.Duration {
 	heard := make([]time.Duration, gateways)
 	s.begun = time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
 	for i := range gateways {
-		d := newDiscovery("service", asked(gateways, grace), func(l memberList) {
+		d := newDiscovery("service", asked(gateways, grace), listLeast, func(l membership.List) {
 			if l.Revision == newRevision && heard[i] == 0 {
 				heard[i] = time.Since(s.begun)
 			}
@@ -392,7 +393,7 @@
 	return heard
 }
 
-func oldList() *memberList { return &memberList{Revision: oldRevision, Complete: true} }
+func oldList() *membership.List { return &membership.List{Revision: oldRevision, Complete: true} }
 
 // fullest returns the most calls in one second from a time on.
 func (s *service) fullest(from, to time.Duration) (most int) {
@@ -498,7 +499,7 @@
 // came since its start does.
 func TestLostWatchOfAServiceIsOpenedInTime(t *testing.T) {
 	for _, grace := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
-		d := newDiscovery("", asked(300, grace), nil)
+		d := newDiscovery("", asked(300, grace), listLeast, nil)
 		now := time.Now()
 		seen := map[time.Duration]bool{}
 		for range 100 {
@@ -553,7 +554,7 @@
 	} {
 		seen := map[time.Duration]bool{}
 		for range 20 {
-			d := newDiscovery("", asked(tier.gateways, 0), nil)
+			d := newDiscovery("", asked(tier.gateways, 0), listLeast, nil)
 			now := time.Now()
 			within := func(what string, wait, mean time.Duration, jitter, spread float64) {
 				low, high := time.Duration((1-jitter)*float64(mean)), time.Duration((1+jitter)*float64(mean))
@@ -584,12 +585,12 @@
 // anything: that is a failure like any other.
 func TestWatchThatTellsNothingKeepsTheBackoff(t *testing.T) {
 	f := newFakeDiscovery(t)
-	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), func(memberList) {})
+	d := newDiscovery(f.Listener.Addr().String(), asked(1, 0), listLeast, func(membership.List) {})
 	d.retry.InitialInterval, d.retry.MaxInterval = time.Millisecond, time.Hour
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() {
-		d.run(ctx, &memberList{}, nil)
+		d.run(ctx, &membership.List{}, nil)
 		close(ended)
 	}()
 	for range 4 {
@@ -637,12 +638,11 @@
 	next := newFakeDiscovery(t, one.member("1"))
 	next.agent.Store(true)
 	close(next.gate)
-	for range 2 { // also to where it is
-		r.server.Reload(Config{Discovery: next.Listener.Addr().String()})
-		if index := wait(t, "a watch at the new address", next.watched); index != "7" {
-			t.Errorf("the new watch begins at %s, want its own list's 7", index)
-		}
+	r.server.Reload(Config{Discovery: next.Listener.Addr().String()})
+	if index := wait(t, "a watch at the new address", next.watched); index != "7" {
+		t.Errorf("the new watch begins at %s, want its own list's 7", index)
 	}
+	r.server.Reload(Config{Discovery: next.Listener.Addr().String()}) // to where it is: nothing is asked for
 	r.eventually("the new list to be in force", func(l *loop) bool { return len(l.pool.byName) == 1 })
 	first.answer("v")
 	c.want("$1\r\nv")
@@ -654,20 +654,22 @@
 		again.answer("w")
 	}
 	c.want("$1\r\nw")
+	idle(t, "a second watch at the new address", next.watched)
 }
 
 // What the old address tells after the new one's list is out of date.
 func TestLinesOfAnAddressLeftAreDropped(t *testing.T) {
 	got := make(chan int64, 10)
-	s := newSources(asked(1, 0), func(l memberList) { got <- l.Revision })
+	s := newSources(asked(1, 0), listLeast, membership.NewView(), nil)
+	s.applied = func(revision int64) { got <- revision }
 	defer s.close()
-	old, next := &source{func() {}}, &source{func() {}}
+	old, next := &source{"old", func() {}}, &source{"next", func() {}}
 	s.next = old
-	s.take(old, memberList{Revision: 1})
+	s.take(old, membership.List{Revision: 1})
 	s.next = next
-	s.take(old, memberList{Revision: 2})
-	s.take(next, memberList{Revision: 3})
-	s.take(old, memberList{Revision: 4})
+	s.take(old, membership.List{Revision: 2})
+	s.take(next, membership.List{Revision: 3})
+	s.take(old, membership.List{Revision: 4})
 	close(got)
 	var revisions []int64
 	for r := range got {
@@ -678,6 +680,40 @@
 	}
 }
 
+// A new configuration that leaves discovery where it is asks for nothing, also
+// while a move is under way: to where it goes on, or back to where it was.
+func TestUnchangedAddressIsNotAskedAgain(t *testing.T) {
+	var lists atomic.Int32
+	s := newSources(asked(1, 0), listLeast, membership.NewView(), nil)
+	s.applied = func(int64) { lists.Add(1) }
+	defer s.close()
+	left := map[string]bool{}
+	begin := func(address string) (src *source, begun bool) {
+		src = &source{address, func() { left[address] = true }}
+		return src, s.begin(src)
+	}
+	one, begun := begin("one")
+	if _, again := begin("one"); !begun || again {
+		t.Error("an address that has told nothing yet is asked again")
+	}
+	s.take(one, membership.List{Revision: 1, Complete: true})
+	if _, again := begin("one"); again {
+		t.Error("the address in force is asked again")
+	}
+	two, begun := begin("two")
+	if _, again := begin("two"); !begun || again {
+		t.Error("an address that is moved to is asked again")
+	}
+	if _, again := begin("one"); again || !left["two"] || left["one"] {
+		t.Errorf("back at the address in force: asked again %t, left %v; want the other one left", again, left)
+	}
+	s.take(two, membership.List{Revision: 9, Complete: true})
+	s.take(one, membership.List{Revision: 2})
+	if lists.Load() != 2 {
+		t.Errorf("%d lists are taken, want the two of the address in force", lists.Load())
+	}
+}
+
 // Connections to a backend that has started again lead to the process before,
 // and where its machine vanished nothing else tells.
 func TestBackendThatStartsAgainGetsNewConnections(t *testing.T) {
@@ -726,9 +762,9 @@
 			if len(l.pool.byName) != 1 || l.pool.byName["new"] == nil || l.pool.byName["new"].id == 1 {
 				t.Errorf("the backends are %v, want the new one alone under an id of its own", l.pool.byName)
 			}
-			l.members(choice.Full, memberList{Complete: true, Members: []member{
-				{ID: "new", HostPort: b.addr, Phase: phaseServing, Size: 1, UpSince: time.Now().UnixMilli()}, b.member("old")}})
 		})
+		r.tell(membership.List{Complete: true, Members: []*membership.Member{
+			{ID: "new", HostPort: b.addr, Phase: membership.PhaseServing, Size: 1, UpSince: time.Now().UnixMilli()}, b.member("old")}})
 	}
 	c.send("Q.ASK", anyone, newID(), lookup)
 	wait(t, "a request at the new one", b.got).answer("w")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"cedarseam/internal/membership"
 )
 
 // patience bounds every wait of the tests; none of them passes by waiting.
@@ -111,8 +113,8 @@
 	}
 }
 
-func (b *fakeBackend) member(id string) member {
-	return member{ID: id, HostPort: b.addr, Locality: "a", Flavor: "std", Phase: phaseServing, Size: 1}
+func (b *fakeBackend) member(id string) *membership.Member {
+	return &membership.Member{ID: id, HostPort: b.addr, Locality: "a", Flavor: "std", Phase: membership.PhaseServing, Size: 1}
 }
 
 // fakeDiscovery serves one list, and watches fed by the test.
@@ -124,12 +126,12 @@
 	done    chan struct{} // closed at the end of the test
 	agent   atomic.Bool   // a watch says at once, and again and again, that nothing has changed
 	mu      sync.Mutex
-	list    memberList
+	list    membership.List
 }
 
-func newFakeDiscovery(t *testing.T, members ...member) *fakeDiscovery {
+func newFakeDiscovery(t *testing.T, members ...*membership.Member) *fakeDiscovery {
 	d := &fakeDiscovery{lines: make(chan string), watched: make(chan string, 100), gate: make(chan struct{}),
-		done: make(chan struct{}), list: memberList{Revision: 7, Complete: true, Members: members}}
+		done: make(chan struct{}), list: membership.List{Revision: 7, Complete: true, Members: members}}
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("stream") == "" {
 			select {
@@ -184,7 +186,7 @@
 	ended     chan error
 }
 
-func newRig(t *testing.T, change func(*Config), members ...member) *rig {
+func newRig(t *testing.T, change func(*Config), members ...*membership.Member) *rig {
 	t.Helper()
 	d := newFakeDiscovery(t, members...)
 	close(d.gate)
@@ -236,6 +238,15 @@
 	<-done
 }
 
+// tell takes a list as if discovery had told it, and returns once it is in force.
+func (r *rig) tell(list membership.List) {
+	s := r.server.sources
+	s.mu.Lock()
+	current := s.current
+	s.mu.Unlock()
+	s.take(current, list)
+}
+
 type fakeClient struct {
 	t  *testing.T
 	nc net.Conn
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
 
 	"cedarseam/choice"
+	"cedarseam/internal/membership"
 )
 
 const (
@@ -69,12 +71,11 @@
 		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
 			l.post(func(l *loop) { l.ended(a, r, elapsed, c) })
 		},
-		func(c *conn) { l.post(func(l *loop) { l.pool.drop(c) }) })
+		func(c *conn) { l.post(func(l *loop) { l.pool.forget(c) }) })
 	var err error
 	if l.gateway, err = choice.New(cfg.Choice, cfg.Seed, l.now(), l); err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	l.members(choice.Cached, cfg.Known)
 	return l, nil
 }
 
@@ -219,41 +220,45 @@
 	}
 }
 
-// members takes a list of backends from discovery.
-func (l *loop) members(kind choice.ListKind, list memberList) {
-	backends := make([]choice.Backend, 0, len(list.Members))
-	named := make(map[string]bool, len(list.Members))
-	for _, m := range list.Members {
-		state := choice.Ready
-		switch m.Phase {
-		case phaseDraining:
-			state = choice.Draining
-		case phaseDeleted:
-			state = choice.Removed
-		}
-		// One process serves at an address. The one that started last has taken
-		// it over; the other is gone, though discovery has not noticed yet. What
-		// is sent to that one would reach the new one, cold, and not be counted.
-		if other := l.pool.sharing(m); state == choice.Ready && other != nil {
-			if other.since > m.UpSince {
-				state = choice.Removed
-			} else {
-				backends = append(backends, choice.Backend{
-					ID: l.pool.member(member{ID: other.name, HostPort: other.addr}, choice.Removed), State: choice.Removed})
-			}
-		}
-		named[m.ID] = true
-		b := choice.Backend{
-			ID: l.pool.member(m, state), Zone: index(l.cfg.zones, m.Locality), Kind: index(l.cfg.kinds, m.Flavor),
-			Cell: m.Cell, State: state, Weight: m.Size,
+// changeInParts hands the loop what has changed in the list of backends. Other
+// events pass between the parts. It returns once all are in force, and is never
+// called by the loop itself.
+func (l *loop) changeInParts(changes []membership.Change) {
+	for part := range slices.Chunk(changes, changesAtOnce) {
+		taken := make(chan struct{})
+		l.post(func(l *loop) {
+			l.change(part)
+			close(taken)
+		})
+		select {
+		case <-taken:
+		case <-l.done:
+			return
 		}
-		b.Started, b.Dated = l.started(m.UpSince)
-		backends = append(backends, b)
 	}
-	if kind != choice.Delta {
-		l.pool.keep(named)
+}
+
+// change takes what has changed in the list of backends.
+func (l *loop) change(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	backends := make([]choice.Backend, len(changes))
+	for i, c := range changes {
+		b := choice.Backend{Zone: index(l.cfg.zones, c.Locality), Kind: index(l.cfg.kinds, c.Flavor), Cell: c.Cell, Weight: c.Size}
+		switch c.State {
+		case membership.Serving:
+			b.State = choice.Ready
+		case membership.Draining:
+			b.State = choice.Draining
+		default:
+			b.State = choice.Removed
+		}
+		b.ID = l.pool.member(c.Member, b.State)
+		b.Started, b.Dated = l.started(c.UpSince)
+		backends[i] = b
 	}
-	l.gateway.Members(l.now(), kind, backends)
+	l.gateway.Members(l.now(), choice.Delta, backends)
 	l.checkReady()
 }
 
@@ -266,7 +271,7 @@
 // checkReady lets clients in once there is a backend. The list of the
 // configuration may be old, so discovery is asked first.
 func (l *loop) checkReady() {
-	if l.asked && l.pool.serving() {
+	if l.asked && l.pool.serving > 0 {
 		l.ready.Store(true)
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -39,7 +39,7 @@
 
 // Listen makes an ingress and opens its address.
 func Listen(cfg Config) (*Server, error) {
-	core, err := newCore(cfg, nil)
+	core, err := newCore(cfg)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/size_test.go
+++ b/internal/ingress/size_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"cedarseam/choice"
+	"cedarseam/internal/membership"
 )
 
 // heap is what is in use after a collection.
@@ -24,10 +25,10 @@
 	const size, told = 1024, 64 << 20
 	before := heap()
 	b := newBackend(t)
-	members := []member{b.member("real")}
+	members := []*membership.Member{b.member("real")}
 	for i := 1; i < size; i++ { // nobody listens there
-		members = append(members, member{ID: fmt.Sprintf("s-%08x", i), HostPort: fmt.Sprintf("127.0.0.1:%d", i),
-			Locality: "a", Flavor: "std", Phase: phaseDraining, Size: 1})
+		members = append(members, &membership.Member{ID: fmt.Sprintf("s-%08x", i), HostPort: fmt.Sprintf("127.0.0.1:%d", i),
+			Locality: "a", Flavor: "std", Phase: membership.PhaseDraining, Size: 1})
 	}
 	r := newRig(t, func(cfg *Config) {
 		cfg.Choice.Gateways, cfg.Choice.Probing = size, false
--- /dev/null
+++ b/internal/membership/decoder.go
@@ -0,0 +1,392 @@
+package membership
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+)
+
+// ErrTooLong tells that a list goes on beyond the bound.
+var ErrTooLong = errors.New("membership: the list is too long")
+
+// errSyntax tells that what came is no list.
+var errSyntax = errors.New("membership: the list can't be read")
+
+// The bytes asked for in one read: as many as have come, between these.
+const (
+	readLeast = 4 << 10
+	readMost  = 32 << 10
+)
+
+// Memo remembers the last complete list that was decoded. A line that stands
+// again, letter by letter, in the next one is not decoded again. It may serve
+// one Decoder after another, and its zero value is empty.
+type Memo struct {
+	text  []byte
+	lines []memoLine
+	place map[string]int // of a line, by its member's id; made when it is needed
+}
+
+type memoLine struct {
+	start, end int // of its text
+	*Member
+}
+
+// Decoder reads lists that stand one behind another on a connection, each on
+// one line or on several, with empty lines between them.
+type Decoder struct {
+	Pause func() // called now and then while a list is decoded; nil: never
+	Begun func() // called when a list begins to come; nil: never
+	Empty func() // called for an empty line; nil: never
+
+	from io.Reader
+	most int // bytes of one list
+	memo *Memo
+	text []byte // what was read
+	done int    // bytes of it that are decoded
+	kept bool   // the memo has taken them
+}
+
+// NewDecoder returns a decoder of lists of so many bytes at most.
+func NewDecoder(from io.Reader, most int, memo *Memo) *Decoder {
+	return &Decoder{from: from, most: most, memo: memo}
+}
+
+// Decode returns the list that stands alone in a text.
+func Decode(text []byte, memo *Memo) (List, error) {
+	return NewDecoder(bytes.NewReader(text), len(text), memo).Next(0)
+}
+
+// Next returns the next list. A list that tells no revision has the one given.
+func (d *Decoder) Next(revision int64) (List, error) {
+	text, err := d.frame()
+	if err != nil {
+		return List{}, err
+	}
+	p := parser{text: text, pause: d.Pause, memo: d.memo, list: List{Revision: revision}}
+	if err := p.object(); err != nil {
+		return List{}, err
+	}
+	if d.kept = p.list.Complete; d.kept {
+		*d.memo = Memo{text: text, lines: p.lines}
+	}
+	return p.list, nil
+}
+
+// frame reads the text of one whole list. What came behind it stays for the next.
+func (d *Decoder) frame() ([]byte, error) {
+	d.discard()
+	var f framer
+	if len(d.text) > 0 {
+		call(d.Begun)
+	}
+	for {
+		if end := f.scan(d.text); end > 0 {
+			d.done = end
+			return d.text[:end:end], nil
+		} else if end < 0 {
+			return nil, errSyntax
+		}
+		if len(d.text) > d.most {
+			return nil, ErrTooLong
+		}
+		if err := d.read(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// discard drops what is decoded. A list behind one that the memo has taken is
+// likely to be complete, and as long.
+func (d *Decoder) discard() {
+	rest := bytes.TrimLeft(d.text[d.done:], blanks)
+	if d.kept {
+		d.text = append(make([]byte, 0, max(d.done+readMost, len(rest))), rest...)
+	} else {
+		d.text = append(d.text[:0], rest...)
+	}
+	d.done, d.kept = 0, false
+}
+
+// read reads more of a list, or what stands between two.
+func (d *Decoder) read() error {
+	call(d.Pause)
+	before := len(d.text)
+	room := min(max(before, readLeast), readMost)
+	d.text = slices.Grow(d.text, room)
+	n, err := d.from.Read(d.text[before : before+room])
+	came := d.text[before : before+n]
+	d.text = d.text[:before+n]
+	if before == 0 {
+		d.text = append(d.text[:0], bytes.TrimLeft(came, blanks)...)
+		switch {
+		case len(d.text) > 0:
+			call(d.Begun)
+		case bytes.IndexByte(came, '\n') >= 0:
+			call(d.Empty)
+		}
+	}
+	if n > 0 {
+		return nil // an error will come again
+	}
+	return err
+}
+
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
+const blanks = " \t\r\n"
+
+// framer finds where a JSON object ends. It tells brackets from strings, and
+// leaves everything else to the parser.
+type framer struct {
+	at      int // bytes looked at
+	depth   int
+	quoted  bool
+	escaped bool
+}
+
+// scan goes on in a text that has grown. It returns where the object ends, 0 if
+// that has not come yet, and -1 if there is none.
+func (f *framer) scan(text []byte) int {
+	for ; f.at < len(text); f.at++ {
+		c := text[f.at]
+		switch {
+		case f.quoted:
+			f.string(c)
+		case c == '"':
+			f.quoted = true
+		case c == '{' || c == '[':
+			f.depth++
+		case c == '}' || c == ']':
+			f.depth--
+			if f.depth <= 0 {
+				f.at++
+				return f.at
+			}
+		}
+		if f.depth == 0 {
+			return -1 // it does not begin as an object does
+		}
+	}
+	return 0
+}
+
+// string takes a byte inside a string.
+func (f *framer) string(c byte) {
+	switch {
+	case f.escaped:
+		f.escaped = false
+	case c == '\\':
+		f.escaped = true
+	case c == '"':
+		f.quoted = false
+	}
+}
+
+// parser reads one list from its whole text.
+type parser struct {
+	text  []byte
+	at    int
+	pause func()
+	memo  *Memo
+	hint  int  // line of the memo that is likely to come next
+	part  bool // the list has said that it is not complete
+	list  List
+	lines []memoLine
+}
+
+// object reads the list itself.
+func (p *parser) object() error {
+	if !p.next('{') {
+		return errSyntax
+	}
+	if p.next('}') {
+		return nil
+	}
+	for {
+		if err := p.field(); err != nil {
+			return err
+		}
+		switch {
+		case p.next(','):
+		case p.next('}') && p.at == len(p.text):
+			return nil
+		default:
+			return errSyntax
+		}
+	}
+}
+
+// field reads a name with its value.
+func (p *parser) field() error {
+	var name string
+	if err := p.value(&name); err != nil || !p.next(':') {
+		return errSyntax
+	}
+	switch strings.ToLower(name) {
+	case "revision":
+		return p.value(&p.list.Revision)
+	case "complete":
+		err := p.value(&p.list.Complete)
+		p.part = !p.list.Complete
+		return err
+	case "members":
+		return p.members()
+	}
+	var unknown json.RawMessage
+	return p.value(&unknown)
+}
+
+// members reads the array of lines. Null stands for none.
+func (p *parser) members() error {
+	p.list.Members, p.lines = nil, nil
+	if !p.next('[') {
+		var none []struct{}
+		return p.value(&none)
+	}
+	if p.next(']') {
+		return nil
+	}
+	room := max(len(p.memo.lines), 1)
+	p.list.Members, p.lines = make([]*Member, 0, room), make([]memoLine, 0, room)
+	for {
+		if len(p.lines)%PauseEvery == 0 {
+			call(p.pause)
+		}
+		if err := p.line(); err != nil {
+			return err
+		}
+		switch {
+		case p.next(','):
+		case p.next(']'):
+			return nil
+		default:
+			return errSyntax
+		}
+	}
+}
+
+// line reads one member, or takes it from the memo.
+func (p *parser) line() error {
+	p.skip()
+	start := p.at
+	m := p.remembered()
+	if m == nil {
+		m = &Member{}
+		if err := p.value(m); err != nil {
+			return err
+		}
+		p.resume(m.ID)
+	}
+	p.list.Members = append(p.list.Members, m)
+	p.lines = append(p.lines, memoLine{start, p.at, m})
+	return nil
+}
+
+// remembered returns the member that the memo has for the text that comes, and
+// goes behind it; nil if that text is another.
+func (p *parser) remembered() *Member {
+	if p.part || p.hint >= len(p.memo.lines) {
+		return nil
+	}
+	l := p.memo.lines[p.hint]
+	text := p.memo.text[l.start:l.end]
+	if !bytes.HasPrefix(p.text[p.at:], text) {
+		return nil
+	}
+	p.hint++
+	p.at += len(text)
+	return l.Member
+}
+
+// searchFrom is how many lines a list must have before a line that was decoded
+// anew is looked for in the memo: that costs as much as all of its lines, once.
+const searchFrom = 64
+
+// resume goes on in the memo behind the line of a member that was decoded anew.
+func (p *parser) resume(id string) {
+	lines := p.memo.lines
+	switch {
+	case p.part || len(lines) == 0:
+	case p.hint < len(lines) && lines[p.hint].ID == id:
+		p.hint++ // the line has changed in its place
+	case len(p.lines) >= searchFrom:
+		if place, known := p.memo.find(id); known {
+			p.hint = place + 1
+		}
+	}
+}
+
+// find returns the place of a member's line.
+func (m *Memo) find(id string) (place int, known bool) {
+	if m.place == nil {
+		m.place = make(map[string]int, len(m.lines))
+		for i, l := range m.lines {
+			m.place[l.ID] = i
+		}
+	}
+	place, known = m.place[id]
+	return place, known
+}
+
+// value reads one value of any form.
+func (p *parser) value(into any) error {
+	p.skip()
+	end := p.at + valueLength(p.text[p.at:])
+	if err := json.Unmarshal(p.text[p.at:end], into); err != nil {
+		return fmt.Errorf("%w: %w", errSyntax, err)
+	}
+	p.at = end
+	return nil
+}
+
+// valueLength is how long the value is that a text begins with, as far as its
+// form tells. What is wrong inside is left to the decoder of values.
+func valueLength(text []byte) int {
+	var f framer
+	if len(text) > 0 && (text[0] == '{' || text[0] == '[') {
+		if end := f.scan(text); end > 0 {
+			return end
+		}
+		return len(text)
+	}
+	for i, c := range text {
+		if f.quoted {
+			if f.string(c); !f.quoted {
+				return i + 1
+			}
+			continue
+		}
+		if c == '"' && i == 0 {
+			f.quoted = true
+		} else if strings.IndexByte(",:]}"+blanks, c) >= 0 {
+			return i
+		}
+	}
+	return len(text)
+}
+
+// skip goes on to what is not blank.
+func (p *parser) skip() {
+	for p.at < len(p.text) && strings.IndexByte(blanks, p.text[p.at]) >= 0 {
+		p.at++
+	}
+}
+
+// next goes behind a character, if that comes next.
+func (p *parser) next(c byte) bool {
+	p.skip()
+	if p.at < len(p.text) && p.text[p.at] == c {
+		p.at++
+		return true
+	}
+	return false
+}
