Let the scale command share the list's types with the ingress

The stand-in of discovery had its own types for the same lines. It uses those of internal/membership now. Heap figures take a second collection: one repetition had given tenants a negative size. go test -race ./internal/scale ./cmd/scale passes.

--- a/internal/scale/discovery.go
+++ b/internal/scale/discovery.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 const (
@@ -25,13 +27,13 @@
 	server *http.Server
 
 	mu      sync.Mutex
-	list    memberList
-	place   map[string]int // of a member in the list, by id
-	history []memberList   // the last changes, oldest first
-	whole   []byte         // the list as text; nil if it must be made anew
-	wake    chan struct{}  // closed when there is something new to tell
-	silent  map[int]bool   // agents that are cut off
-	wholly  bool           // each change is told as a whole list
+	list    membership.List
+	place   map[string]int    // of a member in the list, by id
+	history []membership.List // the last changes, oldest first
+	whole   []byte            // the list as text; nil if it must be made anew
+	wake    chan struct{}     // closed when there is something new to tell
+	silent  map[int]bool      // agents that are cut off
+	wholly  bool              // each change is told as a whole list
 	traffic traffic
 }
 
@@ -43,14 +45,14 @@
 }
 
 // startDiscovery serves a list. The port 0 takes a free one.
-func startDiscovery(list memberList, port int) (*discovery, error) {
+func startDiscovery(list membership.List, port int) (*discovery, error) {
 	listener, port, err := listenOnLoopback(port)
 	if err != nil {
 		return nil, err
 	}
 	d := &discovery{port: port, list: list, place: map[string]int{}, wake: make(chan struct{}), silent: map[int]bool{},
 		traffic: traffic{begun: time.Now(), byAgent: map[int]int64{}, bySecond: map[int]int64{}}}
-	d.list.Members = append([]member(nil), list.Members...)
+	d.list.Members = append([]*membership.Member(nil), list.Members...)
 	for i, m := range d.list.Members {
 		d.place[m.ID] = i
 	}
@@ -90,14 +92,14 @@
 
 // publish takes a change into the list and tells it to all agents that are not
 // cut off. It returns the change's revision.
-func (d *discovery) publish(members ...member) int64 {
+func (d *discovery) publish(members ...*membership.Member) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.list.Revision++
 	for _, m := range members {
 		d.put(m)
 	}
-	d.history = append(d.history, memberList{Revision: d.list.Revision, Members: members})
+	d.history = append(d.history, membership.List{Revision: d.list.Revision, Members: members})
 	if len(d.history) > historyKept {
 		d.history = d.history[1:]
 	}
@@ -114,16 +116,16 @@
 }
 
 // put sets the line of one member.
-func (d *discovery) put(m member) {
+func (d *discovery) put(m *membership.Member) {
 	place, known := d.place[m.ID]
 	switch {
-	case m.Phase == phaseDeleted && known:
+	case m.Phase == membership.PhaseDeleted && known:
 		last := len(d.list.Members) - 1
 		d.list.Members[place] = d.list.Members[last]
 		d.place[d.list.Members[place].ID] = place
 		d.list.Members = d.list.Members[:last]
 		delete(d.place, m.ID)
-	case m.Phase == phaseDeleted:
+	case m.Phase == membership.PhaseDeleted:
 	case known:
 		d.list.Members[place] = m
 	default:
@@ -191,7 +193,7 @@
 // wholeText is the list as text. The caller holds the lock.
 func (d *discovery) wholeText() []byte {
 	if d.whole == nil {
-		d.whole = d.list.text()
+		d.whole = lineOf(d.list)
 	}
 	return d.whole
 }
@@ -242,14 +244,14 @@
 	case d.wholly || missed < 0 || missed > int64(len(d.history)):
 		text = append([]byte(nil), d.wholeText()...)
 	default:
-		text = merge(d.history[int64(len(d.history))-missed:]).text()
+		text = lineOf(merge(d.history[int64(len(d.history))-missed:]))
 	}
 	return text, d.list.Revision, false, d.wake
 }
 
 // merge makes one change of several: the last line of each member, in the order of these lines.
-func merge(changes []memberList) memberList {
-	merged := memberList{Revision: changes[len(changes)-1].Revision}
+func merge(changes []membership.List) membership.List {
+	merged := membership.List{Revision: changes[len(changes)-1].Revision}
 	if len(changes) == 1 {
 		merged.Members = changes[0].Members
 		return merged
--- a/internal/scale/discovery_test.go
+++ b/internal/scale/discovery_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 // patience bounds every wait; no test passes by waiting.
@@ -38,7 +40,7 @@
 }
 
 // next returns the next line that is not empty.
-func (w *watcher) next() (list memberList) {
+func (w *watcher) next() (list membership.List) {
 	w.t.Helper()
 	for {
 		select {
@@ -59,7 +61,7 @@
 	}
 }
 
-func newTestDiscovery(t *testing.T, size int) (*discovery, memberList) {
+func newTestDiscovery(t *testing.T, size int) (*discovery, membership.List) {
 	t.Helper()
 	fleet := newFleet(size, 1)
 	d, err := startDiscovery(fleet, 0)
@@ -73,16 +75,16 @@
 func TestWatchTellsWhatChangedSinceItsRevision(t *testing.T) {
 	d, fleet := newTestDiscovery(t, 10)
 	w := d.watcher(t, 3, 1)
-	one, two := fleet.Members[1], fleet.Members[2]
-	one.Phase, two.Phase = phaseDraining, phaseDeleted
+	one := withPhase(fleet.Members[1], membership.PhaseDraining, 0)
+	two := withPhase(fleet.Members[2], membership.PhaseDeleted, 0)
 	d.publish(one)
-	if l := w.next(); l.Revision != 2 || l.Complete || len(l.Members) != 1 || l.Members[0] != one {
+	if l := w.next(); l.Revision != 2 || l.Complete || len(l.Members) != 1 || *l.Members[0] != *one {
 		t.Errorf("the first change is told as %+v", l)
 	}
 	d.publish(two)
 	d.publish(two)
 	late := d.watcher(t, 4, 1).next()
-	if late.Revision != 4 || late.Complete || len(late.Members) != 2 || late.Members[0] != one || late.Members[1] != two {
+	if late.Revision != 4 || late.Complete || len(late.Members) != 2 || *late.Members[0] != *one || *late.Members[1] != *two {
 		t.Errorf("a watch from before all of it is told %+v, want each change once", late)
 	}
 	if future := d.watcher(t, 5, 99).next(); !future.Complete || len(future.Members) != 9 {
@@ -126,7 +128,7 @@
 	d.publish(fleet.Members[0])
 	w.next()
 	total, most, worst := d.sentSoFar()
-	if total < int64(len(fleet.change(2, phaseServing, 0, 0).text())) || most != total || worst <= 0 {
+	if total < int64(len(lineOf(changeOf(fleet, 2, membership.PhaseServing, 0, 0)))) || most != total || worst <= 0 {
 		t.Errorf("%d bytes in all, %d of one agent, %d in a second", total, most, worst)
 	}
 	d.resetTraffic()
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -5,32 +5,8 @@
 	"fmt"
 	"slices"
 	"strings"
-)
-
-// member is one line of a list of backends, as discovery tells it.
-type member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Flavor   string  `json:"flavor"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
-
-// memberList is a list of backends, or what has changed of one.
-type memberList struct {
-	Revision int64    `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-}
 
-// The phases of a member.
-const (
-	phaseServing  = "SERVING"
-	phaseDraining = "DRAINING"
-	phaseDeleted  = "DELETED"
+	"cedarseam/internal/membership"
 )
 
 const (
@@ -58,36 +34,41 @@
 }
 
 // newMember is a backend that started at a time in Unix milliseconds, 0 for long ago.
-func newMember(number, generation, port int, upSince int64) member {
-	return member{
+func newMember(number, generation, port int, upSince int64) *membership.Member {
+	return &membership.Member{
 		ID: fmt.Sprintf("s-%06x%02x", number, generation&0xff), HostPort: backendAddress(number, port),
 		Locality: zones[number%len(zones)], Flavor: flavor, Cell: number % cellsInAll,
-		Phase: phaseServing, Size: 1, UpSince: upSince,
+		Phase: membership.PhaseServing, Size: 1, UpSince: upSince,
 	}
 }
 
 // newFleet is a whole list of so many backends, all of which started long ago.
-func newFleet(size, port int) memberList {
-	list := memberList{Revision: 1, Complete: true, Members: make([]member, size)}
+func newFleet(size, port int) membership.List {
+	list := membership.List{Revision: 1, Complete: true, Members: make([]*membership.Member, size)}
 	for i := range list.Members {
 		list.Members[i] = newMember(i, 0, port, 0)
 	}
 	return list
 }
 
-// change makes a list of what has changed since a list, by a phase and a start.
-func (l memberList) change(revision int64, phase string, upSince int64, numbers ...int) memberList {
-	changed := memberList{Revision: revision}
+// withPhase is a copy of a member in a phase, with a start.
+func withPhase(m *membership.Member, phase string, upSince int64) *membership.Member {
+	changed := *m
+	changed.Phase, changed.UpSince = phase, upSince
+	return &changed
+}
+
+// changeOf is what some members of a list become, by their numbers.
+func changeOf(l membership.List, revision int64, phase string, upSince int64, numbers ...int) membership.List {
+	changed := membership.List{Revision: revision}
 	for _, number := range numbers {
-		m := l.Members[number]
-		m.Phase, m.UpSince = phase, upSince
-		changed.Members = append(changed.Members, m)
+		changed.Members = append(changed.Members, withPhase(l.Members[number], phase, upSince))
 	}
 	return changed
 }
 
 // inZone are the numbers of the backends of a zone.
-func (l memberList) inZone(zone string) (numbers []int) {
+func inZone(l membership.List, zone string) (numbers []int) {
 	for i, m := range l.Members {
 		if m.Locality == zone {
 			numbers = append(numbers, i)
@@ -96,13 +77,13 @@
 	return numbers
 }
 
-// text is the list on one line, as discovery writes it.
-func (l memberList) text() []byte {
-	text, err := json.Marshal(l)
+// lineOf is a list on one line, as discovery writes it.
+func lineOf(l membership.List) []byte {
+	line, err := json.Marshal(l)
 	if err != nil {
 		panic(err) // strings and finite numbers always have a form
 	}
-	return text
+	return line
 }
 
 // settings are the deployment's, in the form in which an ingress is told them.
--- a/internal/scale/live.go
+++ b/internal/scale/live.go
@@ -37,9 +37,9 @@
 		defer ticker.Stop()
 		for i := 0; i < int(liveLength/liveEvery); i++ {
 			<-ticker.C
-			changed := fleet.Members[i%size]
+			changed := *fleet.Members[i%size]
 			changed.Size = 1 + float64(i+1)/100
-			discovery.publish(changed)
+			discovery.publish(&changed)
 		}
 	}()
 	before, err := processorTime(p.command.Process.Pid)
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -12,6 +12,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 const (
@@ -28,7 +30,7 @@
 	self      int
 	ingresses int
 	discovery string
-	known     *memberList
+	known     *membership.List
 	sockets   int
 }
 
@@ -166,7 +168,7 @@
 	defer discovery.close()
 	spec := processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
 		discovery: discovery.agentAddress(0), sockets: 1024}
-	for name, known := range map[string]*memberList{"start to ready, list known": &fleet, "start to ready, no list": nil} {
+	for name, known := range map[string]*membership.List{"start to ready, list known": &fleet, "start to ready, no list": nil} {
 		spec.known = known
 		p, err := startProcess(m.ctx, spec)
 		if err != nil {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 // RunOptions tell what is run. Durations are of the timeline's parts.
@@ -100,7 +102,7 @@
 	discovery *discovery
 	hollows   []*hollow
 	real      []*process
-	fleet     memberList // as it now is, by the number of each backend
+	fleet     membership.List // as it now is, by the number of each backend
 	result    *RunResult
 
 	// Of the phase under way.
@@ -352,7 +354,7 @@
 }
 
 // publish tells a change.
-func (r *run) publish(members ...member) {
+func (r *run) publish(members ...*membership.Member) {
 	at := time.Now().UnixMicro()
 	revision := r.discovery.publish(members...)
 	r.published[revision] = at
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -9,6 +9,7 @@
 
 	"cedarseam/choice"
 	"cedarseam/internal/ingress"
+	"cedarseam/internal/membership"
 )
 
 // SlopeOptions are the sizes at which costs are measured.
@@ -97,7 +98,7 @@
 func (m *measurement) lists(size int) error {
 	const port = 1
 	fleet := newFleet(size, port)
-	text := fleet.text()
+	text := lineOf(fleet)
 	m.record("whole list", "KB", size, float64(len(text))/1e3)
 	cfg, err := controlConfig(TargetIngresses, 0)
 	if err != nil {
@@ -108,9 +109,9 @@
 	if err != nil {
 		return err
 	}
-	apply := func(name string, list memberList) error {
+	apply := func(name string, list membership.List) error {
 		runtime.GC() // the collection of what came before is not its cost
-		applied, err := control.Apply(list.text())
+		applied, err := control.Apply(lineOf(list))
 		if err != nil {
 			return err
 		}
@@ -130,22 +131,22 @@
 	for i := range rack {
 		rack[i] = i * size / rackSize
 	}
-	zone := fleet.inZone(zones[0])
+	zone := inZone(fleet, zones[0])
 	for i := range size / 8 { // an eighth is in one zone; a quarter fails in the measured burst
 		zone = append(zone, (i*len(zones)+1)%size)
 	}
 	fleet.Revision++
-	fleet.Members[size/2].UpSince = now
+	fleet.Members[size/2] = withPhase(fleet.Members[size/2], membership.PhaseServing, now)
 	steps := []struct {
 		name string
-		list memberList
+		list membership.List
 	}{
 		{"list with one change", fleet},
-		{"one change", fleet.change(3, phaseDraining, 0, size/3)},
-		{"a rack of 40 gone", fleet.change(4, phaseDeleted, 0, rack...)},
-		{"a rack of 40 back", fleet.change(5, phaseServing, now, rack...)},
-		{"a quarter gone", fleet.change(6, phaseDeleted, 0, zone...)},
-		{"a quarter back", fleet.change(7, phaseServing, now, zone...)},
+		{"one change", changeOf(fleet, 3, membership.PhaseDraining, 0, size/3)},
+		{"a rack of 40 gone", changeOf(fleet, 4, membership.PhaseDeleted, 0, rack...)},
+		{"a rack of 40 back", changeOf(fleet, 5, membership.PhaseServing, now, rack...)},
+		{"a quarter gone", changeOf(fleet, 6, membership.PhaseDeleted, 0, zone...)},
+		{"a quarter back", changeOf(fleet, 7, membership.PhaseServing, now, zone...)},
 	}
 	for _, step := range steps {
 		if err := apply(step.name, step.list); err != nil {
@@ -258,8 +259,10 @@
 	return ingress.ParseConfig(fmt.Appendf(nil, `{"name":"i%d","seed":"%x","settings":%s}`, self, self+1, settings(ingresses, self)))
 }
 
-// heap is what is in use after a collection.
+// heap is what is in use after a collection, and another one for what the first
+// only took out of pools.
 func heap() int64 {
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
--- a/internal/scale/timeline.go
+++ b/internal/scale/timeline.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"cedarseam/internal/membership"
 )
 
 // release replaces a part of the backends, a step at a time: some drain, and at
@@ -17,15 +19,14 @@
 func (r *run) replace(first, count, steps int, length time.Duration) error {
 	var draining []int
 	for step := range steps + 1 {
-		var changes []member
+		var changes []*membership.Member
 		for _, number := range draining {
 			changes = append(changes, r.renew(number)...)
 		}
 		draining = nil
 		for number := first + step*count/steps; step < steps && number < first+(step+1)*count/steps; number++ {
 			draining = append(draining, number)
-			r.fleet.Members[number].Phase = phaseDraining
-			changes = append(changes, r.fleet.Members[number])
+			changes = append(changes, r.become(number, membership.PhaseDraining, r.fleet.Members[number].UpSince))
 		}
 		if len(changes) > 0 {
 			r.publish(changes...)
@@ -38,16 +39,22 @@
 }
 
 // renew replaces one backend by another at the same address and returns both lines.
-func (r *run) renew(number int) []member {
+func (r *run) renew(number int) []*membership.Member {
 	old := r.fleet.Members[number]
-	old.Phase = phaseDeleted
-	next := newMember(number, r.generation(old)+1, r.backends.port, time.Now().UnixMilli())
+	next := newMember(number, generationOf(old)+1, r.backends.port, time.Now().UnixMilli())
 	r.fleet.Members[number] = next
-	return []member{old, next}
+	return []*membership.Member{withPhase(old, membership.PhaseDeleted, old.UpSince), next}
+}
+
+// become gives a backend a phase and a start, and returns its new line.
+func (r *run) become(number int, phase string, upSince int64) *membership.Member {
+	changed := withPhase(r.fleet.Members[number], phase, upSince)
+	r.fleet.Members[number] = changed
+	return changed
 }
 
-// generation tells how often a backend was replaced, modulo what an id holds.
-func (r *run) generation(m member) int {
+// generationOf tells how often a backend was replaced, modulo what an id holds.
+func generationOf(m *membership.Member) int {
 	generation, err := strconv.ParseUint(m.ID[idNumberEnd:], 16, 8)
 	if err != nil {
 		panic(err) // newMember has written it
@@ -57,14 +64,12 @@
 
 // loseZone takes all backends of one zone away at once.
 func (r *run) loseZone() error {
-	lost := r.fleet.inZone(zones[1])
+	lost := inZone(r.fleet, zones[1])
 	var addresses []string
-	var changes []member
+	var changes []*membership.Member
 	for _, number := range lost {
-		gone := r.fleet.Members[number]
-		gone.Phase = phaseDeleted
-		changes = append(changes, gone)
-		addresses = append(addresses, gone.HostPort)
+		changes = append(changes, r.become(number, membership.PhaseDeleted, 0))
+		addresses = append(addresses, r.fleet.Members[number].HostPort)
 	}
 	r.backends.setDown(true, addresses...)
 	r.publish(changes...)
@@ -74,12 +79,10 @@
 // returnZone starts the backends of that zone again, all at once.
 func (r *run) returnZone() error {
 	var addresses []string
-	var changes []member
-	for _, number := range r.fleet.inZone(zones[1]) {
-		back := &r.fleet.Members[number]
-		back.UpSince = time.Now().UnixMilli()
-		changes = append(changes, *back)
-		addresses = append(addresses, back.HostPort)
+	var changes []*membership.Member
+	for _, number := range inZone(r.fleet, zones[1]) {
+		changes = append(changes, r.become(number, membership.PhaseServing, time.Now().UnixMilli()))
+		addresses = append(addresses, r.fleet.Members[number].HostPort)
 	}
 	r.backends.setDown(false, addresses...)
 	r.publish(changes...)
@@ -109,11 +112,9 @@
 
 // reconnect lets discovery speak to all again, with one change more.
 func (r *run) reconnect() error {
-	changed := r.fleet.Members[0]
-	changed.Size = 1.5
-	r.fleet.Members[0] = changed
+	first := r.fleet.Members[0]
 	r.discovery.silence(false, r.half()...)
-	r.publish(changed)
+	r.publish(r.become(0, first.Phase, first.UpSince))
 	return r.sleep(r.options.Quiet)
 }
 
