--- a/choice/choice.go
+++ b/choice/choice.go
@@ -94,14 +94,14 @@
 	idle      []list.List // the customers of each plan, the longest idle first
 	requests  map[uint32]*request
 	backends  map[uint32]*backend
-	fleet     backendSet // the ready ones
-	cold      backendSet // those of the fleet that are cold, or were when last looked at
-	kept      backendSet // those of the fleet with an own connection that can be used again
-	heard     []hearing  // of those kept, the oldest first
-	sizes     float64    // of the fleet, in all
-	fleetOut  int        // attempts out at the fleet
-	coldOut   int        // and at its cold ones, when last looked at
-	listing   uint64     // number of the last list
+	fleet     backendSet  // the ready ones
+	cold      backendSet  // those of the fleet that are cold, or were when last looked at
+	kept      backendSet  // those of the fleet with an own connection that can be used again
+	keptQueue []keptEntry // when those kept were heard of, the oldest first
+	sizes     float64     // of the fleet, in all
+	fleetOut  int         // attempts out at the fleet
+	coldOut   int         // and at its cold ones, when last looked at
+	listing   uint64      // number of the last list
 	ejections ejections
 	ejected   int // of the fleet, now
 	classes   []classSeen
@@ -708,7 +708,7 @@
 // nothing or there are too few yet: the fewer backends each gateway keeps to, the less even is what all of
 // them send to one backend.
 func (g *Gateway) reusableOne() *backend {
-	g.dropIdle()
+	g.expireKept()
 	n := g.kept.size()
 	if n == 0 || float64(n*g.cfg.Gateways) < keptGateways*float64(g.fleet.size()) {
 		return nil
@@ -809,7 +809,7 @@
 	if !failed {
 		return
 	}
-	g.expire()
+	g.expireEjections()
 	if g.now >= b.until && b.fails > ejectOver && float64(g.ejected+1) <= ejectMost*float64(g.fleet.size()) {
 		span := ejectAims * g.longest.Seconds()
 		g.eject(b, g.now+seconds(span*(0.8+0.4*g.rng.Float64())))
--- a/choice/export_test.go
+++ b/choice/export_test.go
@@ -14,8 +14,8 @@
 
 // CheckFleet holds what a gateway counts and gathers against a walk over all backends.
 func CheckFleet(g *Gateway) error {
-	g.expire()
-	g.dropIdle()
+	g.expireEjections()
+	g.expireKept()
 	g.warmUp()
 	ready, ejected, cold, kept, out, coldOut, sizes := 0, 0, 0, 0, 0, 0, 0.0
 	for id, b := range g.backends {
--- a/choice/membership.go
+++ b/choice/membership.go
@@ -127,7 +127,7 @@
 	if g.fleet.has(b) {
 		return
 	}
-	g.expire()
+	g.expireEjections()
 	g.fleet.add(b)
 	g.fleetOut += b.out
 	if g.now < b.until {
@@ -138,7 +138,7 @@
 
 // leave takes a backend out of the fleet.
 func (g *Gateway) leave(b *backend) {
-	g.expire()
+	g.expireEjections()
 	if g.now < b.until {
 		g.ejected--
 	}
@@ -166,9 +166,9 @@
 
 // Kept connections.
 
-// hearing is when a backend with a kept connection was heard of.
-type hearing struct {
-	at time.Duration
+// keptEntry is a backend with a kept connection and when it was heard of.
+type keptEntry struct {
+	heard time.Duration
 	*backend
 }
 
@@ -179,18 +179,18 @@
 	}
 	g.kept.add(b)
 	if g.cfg.ConnIdle > 0 {
-		g.dropIdle()
-		g.heard = append(g.heard, hearing{b.heard, b})
+		g.expireKept()
+		g.keptQueue = append(g.keptQueue, keptEntry{b.heard, b})
 	}
 }
 
-// dropIdle takes those out whose connections have been idle for too long since they were last heard of.
-func (g *Gateway) dropIdle() {
-	for len(g.heard) > 0 && g.now-g.heard[0].at > g.cfg.ConnIdle/2 {
-		if h := g.heard[0]; h.backend.heard == h.at {
-			g.kept.remove(h.backend)
+// expireKept takes those out whose connections have been idle for too long since they were last heard of.
+func (g *Gateway) expireKept() {
+	for len(g.keptQueue) > 0 && g.now-g.keptQueue[0].heard > g.cfg.ConnIdle/2 {
+		if first := g.keptQueue[0]; first.backend.heard == first.heard {
+			g.kept.remove(first.backend)
 		}
-		g.heard = g.heard[1:]
+		g.keptQueue = g.keptQueue[1:]
 	}
 }
 
@@ -235,15 +235,15 @@
 
 // pardon ends a backend's ejection.
 func (g *Gateway) pardon(b *backend) {
-	g.expire()
+	g.expireEjections()
 	if g.fleet.has(b) && g.now < b.until {
 		g.ejected--
 	}
 	b.until = 0
 }
 
-// expire counts no more the ejections that have ended.
-func (g *Gateway) expire() {
+// expireEjections counts no more the ejections that have ended.
+func (g *Gateway) expireEjections() {
 	for len(g.ejections) > 0 && g.ejections[0].until <= g.now {
 		e := heap.Pop(&g.ejections).(ejection)
 		if e.backend.until == e.until && g.fleet.has(e.backend) {
