--- a/cmd/wickarch/main.go
+++ b/cmd/cedarseam/main.go
@@ -1,4 +1,4 @@
-// Command wickarch is one ingress: it takes requests of clients over RESP,
+// Command cedarseam is one ingress: it takes requests of clients over RESP,
 // decides with package choice and passes them on to backends. It is configured
 // by the file that NODE_CONFIG names.
 package main
@@ -16,7 +16,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "wickarch:", err)
+		fmt.Fprintln(os.Stderr, "cedarseam:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -71,7 +71,7 @@
 	Tenants     []int  `help:"Customers met by one ingress, at least two sizes." default:"4000,8000,16000,32000,64000"`
 	Connections []int  `help:"Connections of clients, at least two sizes." default:"125,250,500,1000"`
 	Repeats     int    `help:"Repetitions of each measurement." default:"5"`
-	Ingress     string `help:"The ingress program." default:"bin/wickarch" type:"existingfile"`
+	Ingress     string `help:"The ingress program." default:"bin/cedarseam" type:"existingfile"`
 	output
 }
 
@@ -120,7 +120,7 @@
 	Zone      time.Duration `help:"How long a zone is lost, and as long again for its return." default:"20s"`
 	Cut       time.Duration `help:"How long discovery is cut off from half of the ingresses." default:"30s"`
 	Budgets   string        `help:"With enforce, a figure over its budget makes the exit code 1; with report, it is only marked." enum:"enforce,report" default:"enforce"`
-	Ingress   string        `help:"The ingress program." default:"bin/wickarch" type:"existingfile"`
+	Ingress   string        `help:"The ingress program." default:"bin/cedarseam" type:"existingfile"`
 	output
 }
 
