Read a configuration again without its list of backends

Cause, read off the code and not measured: SIGHUP decoded the whole configuration in one go, the list of backends with it, which is 1.7 MB at 12,000 backends and older than the list in force; on an ingress's one processor that holds requests up.

Change: ReloadConfig passes over the list, with rests, and decodes the rest as before, so that a broken file is still refused. Finding values in JSON text is a package of its own now (internal/jsontext), which the decoder of lists uses too.

--- a/cmd/cedarseam/main.go
+++ b/cmd/cedarseam/main.go
@@ -39,7 +39,7 @@
 	slog.Info("serving", "name", cfg.Name, "address", srv.Addr().String())
 	go func() {
 		for range reload {
-			if next, err := ingress.LoadConfig(os.Getenv); err != nil {
+			if next, err := ingress.ReloadConfig(os.Getenv); err != nil {
 				slog.Error("the configuration stays as it was", "error", err)
 			} else {
 				slog.Info("configuration read again", "discovery", next.Discovery)
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cedarseam/choice"
+	"cedarseam/internal/jsontext"
 	"cedarseam/internal/membership"
 	"cedarseam/internal/wire"
 )
@@ -90,6 +91,23 @@
 // LoadConfig reads the file that NODE_CONFIG names. The other NODE_ variables
 // stand in for what the file leaves out.
 func LoadConfig(getenv func(string) string) (Config, error) {
+	return loadConfig(getenv, ParseConfig)
+}
+
+// ReloadConfig reads the file once more, beside the requests that are served.
+// The list of backends in it, which may be long, is older than the one in force
+// and is left out.
+func ReloadConfig(getenv func(string) string) (Config, error) {
+	return loadConfig(getenv, func(data []byte) (Config, error) {
+		rest, _, err := jsontext.Without(data, knownField, newPacer().pause)
+		if err != nil {
+			return Config{}, err
+		}
+		return parseConfig(rest)
+	})
+}
+
+func loadConfig(getenv func(string) string, parse func([]byte) (Config, error)) (Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return Config{}, fmt.Errorf("NODE_CONFIG is not set")
@@ -98,7 +116,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	cfg, err := ParseConfig(data)
+	cfg, err := parse(data)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -115,15 +133,33 @@
 	return cfg, nil
 }
 
+// knownField is the name of the list of backends in a configuration.
+const knownField = "known"
+
 // ParseConfig decodes a configuration.
 func ParseConfig(data []byte) (Config, error) {
+	rest, known, err := jsontext.Without(data, knownField, nil)
+	if err != nil {
+		return Config{}, err
+	}
+	cfg, err := parseConfig(rest)
+	if err != nil || known == nil || string(known) == "null" {
+		return cfg, err
+	}
+	if cfg.Known, err = membership.Decode(known, &membership.Memo{}); err != nil {
+		return Config{}, fmt.Errorf("known: %w", err)
+	}
+	return cfg, nil
+}
+
+// parseConfig decodes a configuration without a list of backends.
+func parseConfig(data []byte) (Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     membership.List `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
@@ -152,7 +188,7 @@
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	cfg := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Known: file.Known,
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits,
 		Choice: decisions, classes: map[string]int{}, plans: map[string]int{}, zones: map[string]int{}, kinds: map[string]int{},
 		connIdle: millis(s.Bounds.ConnIdle), connectTimeout: millis(s.Bounds.ConnectTimeout), ask: ask,
 	}
--- /dev/null
+++ b/internal/ingress/config_test.go
@@ -0,0 +1,49 @@
+package ingress
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// writeConfig writes a configuration, and returns the environment that names it.
+func writeConfig(t *testing.T, known, settings string) (getenv func(string) string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"known":%s,"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":%s}`, known, settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(name string) string { return map[string]string{"NODE_CONFIG": path}[name] }
+}
+
+// A configuration that is read again brings all but the list of backends, which
+// is older than the one in force; a broken one is refused.
+func TestConfigurationIsReadAgainWithoutItsList(t *testing.T) {
+	good := fmt.Sprintf(settings, 1000)
+	env := writeConfig(t, `{"revision":3,"complete":true,"members":[{"id":"a","host_port":"a:1"}]}`, good)
+	first, err := LoadConfig(env)
+	if err != nil || len(first.Known.Members) != 1 || first.Known.Revision != 3 {
+		t.Fatalf("the first reading gives %+v, %v", first.Known, err)
+	}
+	again, err := ReloadConfig(env)
+	if err != nil || len(again.Known.Members) != 0 || again.Discovery != "127.0.0.1:2" || len(again.Choice.Classes) != len(first.Choice.Classes) {
+		t.Errorf("read again: %+v, %v", again, err)
+	}
+	for what, env := range map[string]func(string) string{
+		"settings that can't be read": writeConfig(t, "null", strings.Replace(good, "single_shot", "other", 1)),
+		"half a file":                 writeConfig(t, "{", good[:len(good)-2]),
+	} {
+		if cfg, err := ReloadConfig(env); err == nil {
+			t.Errorf("%s: read again as %+v", what, cfg)
+		}
+	}
+	if _, err := LoadConfig(writeConfig(t, `{"members":5}`, good)); err == nil {
+		t.Error("a list that can't be read is taken at the start")
+	}
+	if cfg, err := LoadConfig(writeConfig(t, "null", good)); err != nil || cfg.Known.Complete {
+		t.Errorf("no list: %+v, %v", cfg.Known, err)
+	}
+}
--- a/internal/membership/decoder.go
+++ b/internal/membership/decoder.go
@@ -8,13 +8,15 @@
 	"io"
 	"slices"
 	"strings"
+
+	"cedarseam/internal/jsontext"
 )
 
 // ErrTooLong tells that a list goes on beyond the bound.
 var ErrTooLong = errors.New("membership: the list is too long")
 
 // errSyntax tells that what came is no list.
-var errSyntax = errors.New("membership: the list can't be read")
+var errSyntax = fmt.Errorf("membership: %w", jsontext.ErrSyntax)
 
 // The bytes asked for in one read: as many as have come, between these.
 const (
@@ -67,9 +69,9 @@
 	if err != nil {
 		return List{}, err
 	}
-	p := parser{text: text, pause: d.Pause, memo: d.memo, list: List{Revision: revision}}
-	if err := p.object(); err != nil {
-		return List{}, err
+	p := parser{Cursor: jsontext.Cursor{Text: text}, pause: d.Pause, memo: d.memo, list: List{Revision: revision}}
+	if err := p.Object(p.field); err != nil {
+		return List{}, fmt.Errorf("membership: %w", err)
 	}
 	if d.kept = p.list.Complete; d.kept {
 		*d.memo = Memo{text: text, lines: p.lines}
@@ -80,12 +82,12 @@
 // frame reads the text of one whole list. What came behind it stays for the next.
 func (d *Decoder) frame() ([]byte, error) {
 	d.discard()
-	var f framer
+	var f jsontext.Framer
 	if len(d.text) > 0 {
 		call(d.Begun)
 	}
 	for {
-		if end := f.scan(d.text); end > 0 {
+		if end := f.Scan(d.text); end > 0 {
 			d.done = end
 			return d.text[:end:end], nil
 		} else if end < 0 {
@@ -103,7 +105,7 @@
 // discard drops what is decoded. A list behind one that the memo has taken is
 // likely to be complete, and as long.
 func (d *Decoder) discard() {
-	rest := bytes.TrimLeft(d.text[d.done:], blanks)
+	rest := bytes.TrimLeft(d.text[d.done:], jsontext.Blanks)
 	if d.kept {
 		d.text = append(make([]byte, 0, max(d.done+readMost, len(rest))), rest...)
 	} else {
@@ -122,7 +124,7 @@
 	came := d.text[before : before+n]
 	d.text = d.text[:before+n]
 	if before == 0 {
-		d.text = append(d.text[:0], bytes.TrimLeft(came, blanks)...)
+		d.text = append(d.text[:0], bytes.TrimLeft(came, jsontext.Blanks)...)
 		switch {
 		case len(d.text) > 0:
 			call(d.Begun)
@@ -142,59 +144,9 @@
 	}
 }
 
-const blanks = " \t\r\n"
-
-// framer finds where a JSON object ends. It tells brackets from strings, and
-// leaves everything else to the parser.
-type framer struct {
-	at      int // bytes looked at
-	depth   int
-	quoted  bool
-	escaped bool
-}
-
-// scan goes on in a text that has grown. It returns where the object ends, 0 if
-// that has not come yet, and -1 if there is none.
-func (f *framer) scan(text []byte) int {
-	for ; f.at < len(text); f.at++ {
-		c := text[f.at]
-		switch {
-		case f.quoted:
-			f.string(c)
-		case c == '"':
-			f.quoted = true
-		case c == '{' || c == '[':
-			f.depth++
-		case c == '}' || c == ']':
-			f.depth--
-			if f.depth <= 0 {
-				f.at++
-				return f.at
-			}
-		}
-		if f.depth == 0 {
-			return -1 // it does not begin as an object does
-		}
-	}
-	return 0
-}
-
-// string takes a byte inside a string.
-func (f *framer) string(c byte) {
-	switch {
-	case f.escaped:
-		f.escaped = false
-	case c == '\\':
-		f.escaped = true
-	case c == '"':
-		f.quoted = false
-	}
-}
-
 // parser reads one list from its whole text.
 type parser struct {
-	text  []byte
-	at    int
+	jsontext.Cursor
 	pause func()
 	memo  *Memo
 	hint  int  // line of the memo that is likely to come next
@@ -203,91 +155,54 @@
 	lines []memoLine
 }
 
-// object reads the list itself.
-func (p *parser) object() error {
-	if !p.next('{') {
-		return errSyntax
-	}
-	if p.next('}') {
-		return nil
-	}
-	for {
-		if err := p.field(); err != nil {
-			return err
-		}
-		switch {
-		case p.next(','):
-		case p.next('}') && p.at == len(p.text):
-			return nil
-		default:
-			return errSyntax
-		}
-	}
-}
-
-// field reads a name with its value.
-func (p *parser) field() error {
-	var name string
-	if err := p.value(&name); err != nil || !p.next(':') {
-		return errSyntax
-	}
+// field reads the value of a field.
+func (p *parser) field(name string) error {
 	switch strings.ToLower(name) {
 	case "revision":
-		return p.value(&p.list.Revision)
+		return p.Value(&p.list.Revision)
 	case "complete":
-		err := p.value(&p.list.Complete)
+		err := p.Value(&p.list.Complete)
 		p.part = !p.list.Complete
 		return err
 	case "members":
 		return p.members()
 	}
 	var unknown json.RawMessage
-	return p.value(&unknown)
+	return p.Value(&unknown)
 }
 
 // members reads the array of lines. Null stands for none.
 func (p *parser) members() error {
 	p.list.Members, p.lines = nil, nil
-	if !p.next('[') {
+	if p.SkipBlanks(); p.At < len(p.Text) && p.Text[p.At] != '[' {
 		var none []struct{}
-		return p.value(&none)
+		return p.Value(&none)
 	}
-	if p.next(']') {
-		return nil
+	if !p.part {
+		p.list.Members, p.lines = make([]*Member, 0, len(p.memo.lines)), make([]memoLine, 0, len(p.memo.lines))
 	}
-	room := max(len(p.memo.lines), 1)
-	p.list.Members, p.lines = make([]*Member, 0, room), make([]memoLine, 0, room)
-	for {
+	return p.Array(func() error {
 		if len(p.lines)%PauseEvery == 0 {
 			call(p.pause)
 		}
-		if err := p.line(); err != nil {
-			return err
-		}
-		switch {
-		case p.next(','):
-		case p.next(']'):
-			return nil
-		default:
-			return errSyntax
-		}
-	}
+		return p.line()
+	})
 }
 
 // line reads one member, or takes it from the memo.
 func (p *parser) line() error {
-	p.skip()
-	start := p.at
+	p.SkipBlanks()
+	start := p.At
 	m := p.remembered()
 	if m == nil {
 		m = &Member{}
-		if err := p.value(m); err != nil {
+		if err := p.Value(m); err != nil {
 			return err
 		}
 		p.resume(m.ID)
 	}
 	p.list.Members = append(p.list.Members, m)
-	p.lines = append(p.lines, memoLine{start, p.at, m})
+	p.lines = append(p.lines, memoLine{start, p.At, m})
 	return nil
 }
 
@@ -299,11 +214,11 @@
 	}
 	l := p.memo.lines[p.hint]
 	text := p.memo.text[l.start:l.end]
-	if !bytes.HasPrefix(p.text[p.at:], text) {
+	if !bytes.HasPrefix(p.Text[p.At:], text) {
 		return nil
 	}
 	p.hint++
-	p.at += len(text)
+	p.At += len(text)
 	return l.Member
 }
 
@@ -336,57 +251,3 @@
 	place, known = m.place[id]
 	return place, known
 }
-
-// value reads one value of any form.
-func (p *parser) value(into any) error {
-	p.skip()
-	end := p.at + valueLength(p.text[p.at:])
-	if err := json.Unmarshal(p.text[p.at:end], into); err != nil {
-		return fmt.Errorf("%w: %w", errSyntax, err)
-	}
-	p.at = end
-	return nil
-}
-
-// valueLength is how long the value is that a text begins with, as far as its
-// form tells. What is wrong inside is left to the decoder of values.
-func valueLength(text []byte) int {
-	var f framer
-	if len(text) > 0 && (text[0] == '{' || text[0] == '[') {
-		if end := f.scan(text); end > 0 {
-			return end
-		}
-		return len(text)
-	}
-	for i, c := range text {
-		if f.quoted {
-			if f.string(c); !f.quoted {
-				return i + 1
-			}
-			continue
-		}
-		if c == '"' && i == 0 {
-			f.quoted = true
-		} else if strings.IndexByte(",:]}"+blanks, c) >= 0 {
-			return i
-		}
-	}
-	return len(text)
-}
-
-// skip goes on to what is not blank.
-func (p *parser) skip() {
-	for p.at < len(p.text) && strings.IndexByte(blanks, p.text[p.at]) >= 0 {
-		p.at++
-	}
-}
-
-// next goes behind a character, if that comes next.
-func (p *parser) next(c byte) bool {
-	p.skip()
-	if p.at < len(p.text) && p.text[p.at] == c {
-		p.at++
-		return true
-	}
-	return false
-}
--- a/internal/membership/decoder_test.go
+++ b/internal/membership/decoder_test.go
@@ -12,6 +12,8 @@
 	"testing/iotest"
 
 	"pgregory.net/rapid"
+
+	"cedarseam/internal/jsontext"
 )
 
 const bound = 1 << 20
@@ -92,7 +94,7 @@
 	for _, text := range []string{"x", "[]", "5", `"{}"`, "{]", "{,}", `{"revision":1,}`, `{"revision" 1}`, `{"revision":1 2}`,
 		`{"revision":x}`, `{"revision":"1"}`, `{"members":{}}`, `{"members":5}`, `{"members":[{},]}`, `{"members":[{} {}]}`,
 		`{"members":[5]}`, `{"members":[{"id":5}]}`, `{"members":[{"id"]}]}`, `{5:6}`, `{"unknown":[}]`, `{"unknown":nul}`, "}"} {
-		if l, err := Decode([]byte(text), &Memo{}); !errors.Is(err, errSyntax) {
+		if l, err := Decode([]byte(text), &Memo{}); !errors.Is(err, jsontext.ErrSyntax) {
 			t.Errorf("%s is read as %+v, %v", text, l, err)
 		}
 	}
