--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -278,10 +278,15 @@
 	// list that has begun and goes on for ever, or stops in its middle, is a
 	// silence like any other.
 	lists.Begun = heard
+	deliver := func(list membership.List) {
+		alarm.Stop() // while the list is taken in nobody listens: that is no silence of the other side
+		d.deliver(list)
+		alarm.Reset(d.silence)
+		told()
+	}
 	lists.Empty = func() {
 		heard()
-		d.deliver(membership.List{Revision: revision}) // nothing has changed
-		told()
+		deliver(membership.List{Revision: revision}) // nothing has changed
 	}
 	for {
 		list, err := lists.Next(revision)
@@ -290,8 +295,7 @@
 		}
 		heard()
 		revision = list.Revision
-		d.deliver(list)
-		told()
+		deliver(list)
 	}
 }
 
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -494,6 +494,32 @@
 	}
 }
 
+// The time in which a list is taken in is not a silence of discovery.
+func TestLongListDoesNotBreakItsOwnWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &service{pace: 1e6, begun: time.Now(), trouble: func(time.Duration) mode { return serving }, change: time.Second}
+		p := asked(1, 0)
+		d := newDiscovery("service", p, listLeast, func(l membership.List) {
+			if l.Revision == newRevision {
+				time.Sleep(3 * p.silence)
+			}
+		})
+		d.client.Transport = s
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			d.run(ctx, oldList(), nil)
+			close(ended)
+		}()
+		time.Sleep(time.Minute)
+		stop()
+		<-ended
+		if len(s.calls) != 1 {
+			t.Errorf("%d calls are made, want one watch that goes on", len(s.calls))
+		}
+	})
+}
+
 // A watch that worked and is lost is followed by a call before its silence
 // counts as if it had told everything, and a call that failed before what
 // came since its start does.
