Make room for a connection before the last place is taken

A connection that is closed to make room gives its place back only once its reader has noticed; at the last place the attempt that evicted it found none and failed. Lines: the bound in pool.start.

--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -134,7 +134,7 @@
 		c = p.rested(a.to)
 	}
 	a.kept = c != nil
-	if c == nil && p.open.Load() >= int64(p.cfg.Limits.backends()) {
+	if most := p.cfg.Limits.backends(); c == nil && p.open.Load() >= int64(most-most/spareShare) {
 		p.evict()
 	}
 	go a.run(c)
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -89,6 +90,51 @@
 	}
 }
 
+// A connection that makes room takes a moment to close. So room is made before
+// the last place is taken: attempts that come meanwhile find one.
+func TestRoomIsMadeBeforeTheLastPlaceIsTaken(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	listener.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+	cfg := &Config{Limits: Limits{Sockets: keptSockets + 200}}
+	outcomes := make(chan choice.Status, 1)
+	p := newPool(cfg, func(_ *attempt, r reply, _ time.Duration, _ *conn) { outcomes <- r.status }, func(*conn) {})
+	for i := range 2 {
+		p.member(&membership.Member{ID: fmt.Sprint(i), HostPort: listener.Addr().String(), Phase: membership.PhaseServing}, choice.Ready)
+	}
+	most := cfg.Limits.backends()
+	spare := most / spareShare
+	if spare < 2 {
+		t.Fatalf("%d places leave %d to spare, too few for the test", most, spare)
+	}
+	for range most - spare { // all idle, and none of them ever seen to close
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		p.open.Add(1)
+		p.put(&conn{nc: near, to: p.byName["0"], pool: p})
+	}
+	for i := range spare {
+		a := &attempt{deadline: time.Now().Add(patience)}
+		p.start(a, p.byName["1"].id)
+		if nc, err := listener.Accept(); err != nil {
+			t.Fatal(err)
+		} else {
+			t.Cleanup(func() { nc.Close() })
+		}
+		select {
+		case status := <-outcomes:
+			t.Fatalf("attempt %d of %d ends with %d while %d of %d places are taken", i+1, spare, status, p.open.Load(), most)
+		default:
+		}
+	}
+	if idle := p.idle.Len(); idle != most-2*spare {
+		t.Errorf("%d connections are idle, want one less for each of %d attempts", idle, spare)
+	}
+}
+
 // A list holds the loop for one part of it at a time: what else happens comes in
 // between, and no part waits in the queue while another is not taken.
 func TestRequestsPassBetweenThePartsOfAList(t *testing.T) {
