Tell latencies by phase in the scale run

The worst of the real ingresses over the whole run told nothing of when; each phase has its own quantiles now, merged over them. Measured: go test -race ./internal/scale passes.

--- a/internal/scale/live.go
+++ b/internal/scale/live.go
@@ -1,8 +1,6 @@
 package scale
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	liveRate   = 250.0                   // requests a second
@@ -42,12 +40,15 @@
 			discovery.publish(&changed)
 		}
 	}()
+	begun := time.Now()
 	before, err := processorTime(p.command.Process.Pid)
 	if err != nil {
 		return err
 	}
-	result := runLoad(m.ctx, loadOptions{address: p.listen, rate: liveRate, length: liveLength, seed: 1})
+	load := newLoad(loadOptions{address: p.listen, rate: liveRate, length: liveLength, seed: 1})
+	load.run(m.ctx)
 	<-done
+	result, _ := load.take()
 	after, err := processorTime(p.command.Process.Pid)
 	if err != nil {
 		return err
@@ -57,6 +58,6 @@
 	m.record("whole lists under load: worst", "ms", size, result.Worst)
 	m.record("whole lists under load: not answered", "requests", size, float64(result.Unanswered))
 	m.record("whole lists under load: not served", "requests", size, float64(result.Sent-result.Served))
-	m.record("whole lists under load: processor", "% of a core", size, 100*(after-before).Seconds()/liveLength.Seconds())
+	m.record("whole lists under load: processor", "% of a core", size, 100*(after-before).Seconds()/time.Since(begun).Seconds())
 	return nil
 }
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -44,12 +44,12 @@
 // load sends requests at an even rate, whether or not the ones before are
 // answered: a request's time counts from when it was due.
 type load struct {
-	options   loadOptions
-	due       chan arrival
-	latencies *hdrhistogram.Histogram // of all that were answered, in microseconds
-	mu        sync.Mutex              // guards latencies
+	options loadOptions
+	due     chan arrival
 
-	served, refused, failed, unanswered atomic.Int64
+	mu        sync.Mutex
+	result    LoadResult              // counts since the last take
+	latencies *hdrhistogram.Histogram // of all that were answered since, in microseconds
 }
 
 // arrival is one request to be sent.
@@ -58,40 +58,73 @@
 	text []byte
 }
 
-// runLoad sends requests until their time is over and all are answered.
-func runLoad(ctx context.Context, options loadOptions) LoadResult {
-	count := int(options.rate * options.length.Seconds())
-	l := &load{options: options, due: make(chan arrival, count),
-		latencies: hdrhistogram.New(1, longestLatency.Microseconds(), latencyDigits)}
+// newLoad makes a load that has sent nothing yet.
+func newLoad(options loadOptions) *load {
+	return &load{options: options, due: make(chan arrival, options.count()), latencies: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestLatency.Microseconds(), latencyDigits)
+}
+
+// count is how many requests are sent at most.
+func (o loadOptions) count() int { return int(o.rate * o.length.Seconds()) }
+
+// run sends requests until their time is over or ctx ends, and all are answered.
+func (l *load) run(ctx context.Context) {
 	var workers sync.WaitGroup
-	for range min(loadConnections, count) {
+	for range min(loadConnections, l.options.count()) {
 		workers.Go(l.work)
 	}
-	sent := l.schedule(ctx, count)
+	l.schedule(ctx)
 	close(l.due)
 	workers.Wait()
-	return LoadResult{
-		Sent: int64(sent), Served: l.served.Load(), Refused: l.refused.Load(), Failed: l.failed.Load(), Unanswered: l.unanswered.Load(),
-		P50:   float64(l.latencies.ValueAtQuantile(50)) / 1e3,
-		P99:   float64(l.latencies.ValueAtQuantile(99)) / 1e3,
-		Worst: float64(l.latencies.Max()) / 1e3,
-	}
 }
 
-// schedule makes each request due at its time, and returns how many were.
-func (l *load) schedule(ctx context.Context, count int) (sent int) {
+// take returns what became of requests since it was last called.
+func (l *load) take() (LoadResult, *hdrhistogram.Histogram) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	result, latencies := l.result, l.latencies
+	l.result, l.latencies = LoadResult{}, newHistogram()
+	return result.withLatencies(latencies), latencies
+}
+
+// withLatencies fills the quantiles in.
+func (r LoadResult) withLatencies(latencies *hdrhistogram.Histogram) LoadResult {
+	r.P50 = float64(latencies.ValueAtQuantile(50)) / 1e3
+	r.P99 = float64(latencies.ValueAtQuantile(99)) / 1e3
+	r.Worst = float64(latencies.Max()) / 1e3
+	return r
+}
+
+// plus adds counts up.
+func (r LoadResult) plus(other LoadResult) LoadResult {
+	return LoadResult{Sent: r.Sent + other.Sent, Served: r.Served + other.Served, Refused: r.Refused + other.Refused,
+		Failed: r.Failed + other.Failed, Unanswered: r.Unanswered + other.Unanswered}
+}
+
+// note changes the counts.
+func (l *load) note(change func(*LoadResult)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(&l.result)
+}
+
+// schedule makes each request due at its time.
+func (l *load) schedule(ctx context.Context) {
 	random := rand.New(rand.NewPCG(l.options.seed, 1))
 	begun := time.Now()
-	for i := range count {
+	for i := range l.options.count() {
 		at := begun.Add(time.Duration(float64(i) / l.options.rate * float64(time.Second)))
 		select {
 		case <-time.After(time.Until(at)):
 		case <-ctx.Done():
-			return i
+			return
 		}
+		l.note(func(r *LoadResult) { r.Sent++ })
 		l.due <- arrival{at, requestText(random)}
 	}
-	return count
 }
 
 // requestText is one request of a random customer and class.
@@ -132,7 +165,7 @@
 		if connection == nil {
 			var err error
 			if connection, err = net.Dial("tcp", l.options.address); err != nil {
-				l.unanswered.Add(1)
+				l.note(func(r *LoadResult) { r.Unanswered++ })
 				continue
 			}
 			answers = bufio.NewReader(connection)
@@ -152,7 +185,7 @@
 func (l *load) exchange(connection net.Conn, answers *bufio.Reader, request arrival) bool {
 	connection.SetDeadline(time.Now().Add(answerWithin))
 	if _, err := connection.Write(request.text); err != nil {
-		l.unanswered.Add(1)
+		l.note(func(r *LoadResult) { r.Unanswered++ })
 		return false
 	}
 	line, err := answers.ReadString('\n')
@@ -160,7 +193,7 @@
 		_, err = answers.ReadString('\n')
 	}
 	if err != nil {
-		l.unanswered.Add(1)
+		l.note(func(r *LoadResult) { r.Unanswered++ })
 		return false
 	}
 	l.count(line, time.Since(request.at))
@@ -169,15 +202,15 @@
 
 // count takes an answer's first line and its time.
 func (l *load) count(line string, latency time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
 	case line[0] == '$':
-		l.served.Add(1)
-	case len(line) >= 5 && line[:5] == "-BUSY":
-		l.refused.Add(1)
+		l.result.Served++
+	case strings.HasPrefix(line, "-BUSY"):
+		l.result.Refused++
 	default:
-		l.failed.Add(1)
+		l.result.Failed++
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.latencies.RecordValue(min(latency, longestLatency).Microseconds())
 }
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -168,19 +168,23 @@
 	defer discovery.close()
 	spec := processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
 		discovery: discovery.agentAddress(0), sockets: 1024}
-	for name, known := range map[string]*membership.List{"start to ready, list known": &fleet, "start to ready, no list": nil} {
-		spec.known = known
+	starts := []struct {
+		name  string
+		known *membership.List
+	}{{"start to ready, list known", &fleet}, {"start to ready, no list", nil}}
+	for _, start := range starts {
+		spec.known = start.known
 		p, err := startProcess(m.ctx, spec)
 		if err != nil {
 			return err
 		}
-		m.record(name, "ms", size, milliseconds(p.ready))
+		m.record(start.name, "ms", size, milliseconds(p.ready))
 		resident, err := residentMemory(p.command.Process.Pid)
 		p.stop()
 		if err != nil {
 			return err
 		}
-		m.record("resident memory after "+name, "MB", size, float64(resident)/1e6)
+		m.record("resident memory after "+start.name, "MB", size, float64(resident)/1e6)
 	}
 	return nil
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -39,10 +39,11 @@
 	fmt.Fprintf(&text, "%d cores, %d MB, %s; %d ingresses, %d of them real, before %d backends; %s requests a second to each real one; seed %d.\n",
 		r.Machine.Cores, r.Machine.MemoryMB, r.Machine.Go, o.Ingresses, o.Real, o.Backends, short(o.Rate), o.Seed)
 	text.WriteString("\n| phase | s | changes | lines | processor, % of a core | KB/s, mean | KB/s, most | worst second, MB to all | " +
-		"held: median, s | p99, s | last, s |\n| --- |" + strings.Repeat(" --- |", 10) + "\n")
+		"held: median, s | p99, s | last, s | latency: p50, ms | p99, ms | worst, ms | unserved |\n| --- |" + strings.Repeat(" --- |", 14) + "\n")
 	for _, p := range r.Phases {
-		fmt.Fprintf(&text, "| %s | %s | %d | %d | %s | %s | %s | %s | %s | %s | %s |\n", p.Name, short(p.Seconds), p.Changes, p.Lines,
-			short(p.Processor), short(p.Bytes), short(p.MostBytes), short(p.Worst), short(p.Median), short(p.P99), short(p.Last))
+		fmt.Fprintf(&text, "| %s | %s | %d | %d |"+strings.Repeat(" %s |", 10)+" %d |\n", p.Name, short(p.Seconds), p.Changes, p.Lines,
+			short(p.Processor), short(p.Bytes), short(p.MostBytes), short(p.Worst), short(p.Median), short(p.P99), short(p.Last),
+			short(p.Load.P50), short(p.Load.P99), short(p.Load.Worst), p.Load.Refused+p.Load.Failed+p.Load.Unanswered)
 	}
 	text.WriteString("\n| figure | value | unit | budget | |\n| --- | --- | --- | --- | --- |\n")
 	for _, f := range r.Figures {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"cedarseam/internal/membership"
 )
 
@@ -37,8 +39,8 @@
 	releaseStepsInCut      = 4
 	settleWithin           = 60 * time.Second       // until all ingresses hold a change, at the longest
 	settlePause            = 100 * time.Millisecond // between two looks whether they do
-	memoryPerIngress       = 2 << 20                // bytes, besides what the list takes
-	memoryPerBackend       = 1300                   // bytes at each ingress, garbage included
+	memoryPerIngress       = 512 << 10              // bytes, besides what the list takes
+	memoryPerBackend       = 1110                   // bytes at each ingress: 850 as measured, and the garbage allowed
 	memoryShare            = 2                      // the run takes 1 of so many parts of the machine's memory at most
 	mostProcesses          = 300
 )
@@ -79,16 +81,17 @@
 	Median    float64 `json:"median_s"`        // from a change until an ingress holds it
 	P99       float64 `json:"p99_s"`
 	Last      float64 `json:"last_s"`
+
+	Load LoadResult `json:"load"` // of the real ingresses together
 }
 
 // RunResult is what a run has measured.
 type RunResult struct {
-	Machine  Machine      `json:"machine"`
-	Options  RunOptions   `json:"options"`
-	Phases   []Phase      `json:"phases"`
-	Load     []LoadResult `json:"load"` // of each real ingress
-	Resident []float64    `json:"resident_real_mb"`
-	Figures  []Figure     `json:"figures"`
+	Machine  Machine    `json:"machine"`
+	Options  RunOptions `json:"options"`
+	Phases   []Phase    `json:"phases"`
+	Resident []float64  `json:"resident_real_mb"`
+	Figures  []Figure   `json:"figures"`
 }
 
 // Over tells whether a figure breaks its budget.
@@ -109,8 +112,10 @@
 	published map[int64]int64 // by revision, Unix time in microseconds
 	lines     int
 	excluded  map[int64]bool // revisions told while some ingresses could not hear
-	resident  float64        // MB of the mean ingress without clients, the most so far
-	heap      float64        // MB of it in use at the end
+	loads     []*load
+	latencies *hdrhistogram.Histogram // of the whole run, in microseconds
+	resident  float64                 // MB of the mean ingress without clients, the most so far
+	heap      float64                 // MB of it in use at the end
 }
 
 // Run plays one timeline: a quiet time, the replacement of a part of the
@@ -120,7 +125,7 @@
 	if err := options.Check(); err != nil {
 		return nil, err
 	}
-	r := &run{ctx: ctx, options: options, result: &RunResult{Machine: thisMachine(), Options: options}}
+	r := &run{ctx: ctx, options: options, result: &RunResult{Machine: thisMachine(), Options: options}, latencies: newHistogram()}
 	defer r.stop()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -210,6 +215,7 @@
 		}
 	}
 	loadDone()
+	r.takeLast()
 	last, err := r.samples(askHeap)
 	if err != nil {
 		return err
@@ -224,20 +230,39 @@
 	o := r.options
 	ctx, stop := context.WithCancel(r.ctx)
 	longest := 2*o.Quiet + o.Release + o.Zone + o.Cut + 4*settleWithin
-	results := make([]LoadResult, len(r.real))
 	var running sync.WaitGroup
 	for i, p := range r.real {
-		running.Go(func() {
-			results[i] = runLoad(ctx, loadOptions{address: p.listen, rate: o.Rate, length: longest, seed: o.Seed + uint64(i)})
-		})
+		l := newLoad(loadOptions{address: p.listen, rate: o.Rate, length: longest, seed: o.Seed + uint64(i)})
+		r.loads = append(r.loads, l)
+		running.Go(func() { l.run(ctx) })
 	}
 	return func() {
 		stop()
 		running.Wait()
-		r.result.Load = results
 	}
 }
 
+// takeLoad sums up what became of requests since it was last called.
+func (r *run) takeLoad() (sum LoadResult) {
+	latencies := newHistogram()
+	for _, l := range r.loads {
+		result, own := l.take()
+		sum = sum.plus(result)
+		latencies.Merge(own)
+	}
+	r.latencies.Merge(latencies)
+	return sum.withLatencies(latencies)
+}
+
+// takeLast books what is answered after the last phase to that one, but for the
+// latencies, which are those of the whole run alone.
+func (r *run) takeLast() {
+	last := &r.result.Phases[len(r.result.Phases)-1].Load
+	sum := last.plus(r.takeLoad())
+	sum.P50, sum.P99, sum.Worst = last.P50, last.P99, last.Worst
+	*last = sum
+}
+
 // phase plays one part of the timeline, waits until all ingresses hold what was
 // told, and books what it cost.
 func (r *run) phase(name string, play func() error) error {
@@ -267,6 +292,7 @@
 		Worst:     float64(worst) / 1e6,
 	}
 	p.Median, p.P99, p.Last = r.delays(applied)
+	p.Load = r.takeLoad()
 	r.resident = max(r.resident, float64(after.Resident)/1e6/float64(hollows))
 	r.result.Phases = append(r.result.Phases, p)
 	slog.Info("played", "phase", name, "seconds", short(took), "last_s", short(p.Last))
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -144,7 +143,12 @@
 		"-ERR failed\r\n": func(r LoadResult) int64 { return r.Failed },
 		"":                func(r LoadResult) int64 { return r.Unanswered },
 	} {
-		result := runLoad(context.Background(), loadOptions{address: server(t, answer), rate: 1000, length: 50 * time.Millisecond, seed: 3})
+		load := newLoad(loadOptions{address: server(t, answer), rate: 1000, length: 50 * time.Millisecond, seed: 3})
+		load.run(t.Context())
+		result, _ := load.take()
+		if again, _ := load.take(); again != (LoadResult{}) {
+			t.Errorf("taken again, the result is %+v", again)
+		}
 		if result.Sent != 50 || count(result) != 50 {
 			t.Errorf("answered %q: %+v, want 50 of 50", answer, result)
 		}
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -164,7 +164,7 @@
 
 // requests measures one request with its outcome by the size of the fleet.
 func (m *measurement) requests(size int) error {
-	for name, cold := range map[string]int{"a request, all warm": 0, "a request, one cold": 1} {
+	for cold, name := range []string{"a request, all warm", "a request, one cold"} {
 		gateway, sent, err := newGateway(size, cold)
 		if err != nil {
 			return err
--- a/internal/scale/timeline.go
+++ b/internal/scale/timeline.go
@@ -122,14 +122,10 @@
 func (r *run) sumUp() {
 	result := r.result
 	var load LoadResult
-	for _, l := range result.Load {
-		load.Sent += l.Sent
-		load.Served += l.Served
-		load.Refused += l.Refused
-		load.Failed += l.Failed
-		load.Unanswered += l.Unanswered
-		load.P50, load.P99, load.Worst = max(load.P50, l.P50), max(load.P99, l.P99), max(load.Worst, l.Worst)
+	for _, p := range result.Phases {
+		load = load.plus(p.Load)
 	}
+	load = load.withLatencies(r.latencies)
 	for _, p := range r.real {
 		if resident, err := residentMemory(p.command.Process.Pid); err == nil {
 			result.Resident = append(result.Resident, float64(resident)/1e6)
@@ -144,6 +140,9 @@
 		}
 		add("processor, "+p.Name, p.Processor, BudgetCPU.Unit, &BudgetCPU)
 		add("bytes, "+p.Name, p.Bytes, BudgetBytes.Unit, &BudgetBytes)
+		if len(r.real) > 0 {
+			add("latency p99, "+p.Name, p.Load.P99, BudgetLatency.Unit, &BudgetLatency)
+		}
 		if p.Last > 0 {
 			add("last ingress to hold a change, "+p.Name, p.Last, BudgetConvergence.Unit, &BudgetConvergence)
 		}
@@ -154,9 +153,9 @@
 		return
 	}
 	add("memory of a real ingress, the most", slices.Max(append(result.Resident, 0)), BudgetMemory.Unit, &BudgetMemory)
-	add("latency of real ingresses, p50", load.P50, "ms", nil)
-	add("latency of real ingresses, p99", load.P99, BudgetLatency.Unit, &BudgetLatency)
-	add("latency of real ingresses, worst", load.Worst, "ms", nil)
+	add("latency of the whole run, p50", load.P50, "ms", nil)
+	add("latency of the whole run, p99", load.P99, BudgetLatency.Unit, &BudgetLatency)
+	add("latency of the whole run, worst", load.Worst, "ms", nil)
 	add("requests sent", float64(load.Sent), "requests", nil)
 	add("requests refused", float64(load.Refused), "requests", nil)
 	add("requests failed", float64(load.Failed), "requests", nil)
