--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -33,6 +33,7 @@
 type commands struct {
 	Slopes slopesCommand `cmd:"" help:"Measure each cost at several sizes and fit its growth."`
 	Run    runCommand    `cmd:"" help:"Play one timeline of troubles against many ingresses."`
+	List   listCommand   `cmd:"" help:"Measure what a list of backends in a file costs an ingress."`
 	Hollow hollowCommand `cmd:"" hidden:"" help:"Run ingresses without clients; started by run."`
 
 	Logs string `help:"Least level of the log lines on standard error." enum:"debug,info,warn,error" default:"info"`
@@ -175,6 +176,35 @@
 	return nil
 }
 
+type listCommand struct {
+	File    string `arg:"" help:"A whole list, as discovery tells it." type:"existingfile"`
+	Repeats int    `help:"Repetitions of each measurement." default:"5"`
+	output
+}
+
+// Validate tells what of the flags can't be used.
+func (c *listCommand) Validate() error {
+	if c.Repeats < 1 || c.Repeats > mostRepeats {
+		return fmt.Errorf("--repeats is from 1 to %d", mostRepeats)
+	}
+	return nil
+}
+
+// Run measures the list.
+func (c *listCommand) Run(stdout io.Writer) error {
+	cost, err := scale.MeasureList(c.File, c.Repeats)
+	if err != nil {
+		return err
+	}
+	if err := c.write(stdout, cost.Markdown(), cost); err != nil {
+		return err
+	}
+	if cost.Over() {
+		return errOverBudget
+	}
+	return nil
+}
+
 type hollowCommand struct{}
 
 // Run runs the ingresses that the standard input specifies.
--- a/cmd/scale/main_test.go
+++ b/cmd/scale/main_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -24,6 +27,9 @@
 		{"slopes", "--ingress", "main.go", "--backends", "-5,1000"},
 		{"slopes", "--ingress", "main.go", "--tenants", "1000,1000000000"},
 		{"slopes", "--ingress", "main.go", "--logs", "loud"},
+		{"list", "no/such/list"},
+		{"list", "main.go"},
+		{"list", "--repeats", "0", "main.go"},
 		{"run", "--ingress", "no/such/program"},
 		{"run", "--ingress", "main.go", "--ingresses", "1"},
 		{"run", "--ingress", "main.go", "--real", "810"},
@@ -46,3 +52,19 @@
 		t.Errorf("code %d, output %q, errors %q", code, stdout, stderr)
 	}
 }
+
+func TestListIsMeasured(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list.json")
+	list := `{"revision":1,"complete":true,"members":[{"id":"a","host_port":"127.0.0.1:1","phase":"SERVING","size":1}]}`
+	if err := os.WriteFile(path, []byte(list), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	results := filepath.Join(t.TempDir(), "results.json")
+	code, stdout, stderr := call("list", "--repeats", "2", "--json", results, path)
+	if code != exitDone || stderr != "" || !strings.Contains(stdout, fmt.Sprintf("| text | %.3g | KB |", float64(len(list))/1e3)) {
+		t.Errorf("code %d, output %q, errors %q", code, stdout, stderr)
+	}
+	if text, err := os.ReadFile(results); err != nil || !strings.Contains(string(text), `"figures"`) {
+		t.Errorf("the results are %q, %v", text, err)
+	}
+}
--- /dev/null
+++ b/internal/scale/list.go
@@ -0,0 +1,64 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"cedarseam/internal/ingress"
+)
+
+// ListCost is what one whole list costs an ingress that holds nothing yet, and
+// what it costs when it is told again.
+type ListCost struct {
+	Machine Machine  `json:"machine"`
+	Repeats int      `json:"repeats"`
+	Figures []Figure `json:"figures"`
+}
+
+// MeasureList measures the list that a file holds in the form of discovery.
+func MeasureList(path string, repeats int) (*ListCost, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := controlConfig(TargetIngresses, 0)
+	if err != nil {
+		return nil, err
+	}
+	result := &ListCost{Machine: thisMachine(), Repeats: repeats}
+	values := map[string][]float64{}
+	for range repeats {
+		before := heap()
+		control, err := ingress.NewControl(cfg, nil)
+		if err != nil {
+			return nil, err
+		}
+		for _, turn := range []string{"first", "again"} {
+			applied, err := control.Apply(text)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", path, err)
+			}
+			values[turn+": decode and compare"] = append(values[turn+": decode and compare"], milliseconds(applied.Decode))
+			values[turn+": longest hold of the loop"] = append(values[turn+": longest hold of the loop"], milliseconds(applied.Longest))
+		}
+		values["memory"] = append(values["memory"], float64(heap()-before)/1e6)
+	}
+	add := func(name, unit string, budget *Budget) {
+		point := newPoint(0, values[name])
+		result.Figures = append(result.Figures, Figure{name, point.Median, unit, budget})
+	}
+	result.Figures = append(result.Figures, Figure{"text", float64(len(text)) / 1e3, "KB", nil})
+	for _, turn := range []string{"first", "again"} {
+		add(turn+": decode and compare", "ms", nil)
+		add(turn+": longest hold of the loop", "ms", &Budget{"hold of the loop", milliseconds(longestHold), "ms"})
+	}
+	add("memory", "MB", &BudgetMemory)
+	return result, nil
+}
+
+// longestHold is how long a list may keep a request waiting.
+const longestHold = 2 * time.Millisecond
+
+// Over tells whether a figure breaks its budget.
+func (c *ListCost) Over() bool { return anyOver(c.Figures) }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -45,8 +45,21 @@
 			short(p.Processor), short(p.Bytes), short(p.MostBytes), short(p.Worst), short(p.Median), short(p.P99), short(p.Last),
 			short(p.Load.P50), short(p.Load.P99), short(p.Load.Worst), p.Load.Refused+p.Load.Failed+p.Load.Unanswered)
 	}
+	writeFigures(&text, r.Figures)
+	return text.String()
+}
+
+// Markdown is a table of the figures; those over their budget are marked.
+func (c *ListCost) Markdown() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%d cores, %d MB, %s; median of %d repetitions.\n", c.Machine.Cores, c.Machine.MemoryMB, c.Machine.Go, c.Repeats)
+	writeFigures(&text, c.Figures)
+	return text.String()
+}
+
+func writeFigures(text *strings.Builder, figures []Figure) {
 	text.WriteString("\n| figure | value | unit | budget | |\n| --- | --- | --- | --- | --- |\n")
-	for _, f := range r.Figures {
+	for _, f := range figures {
 		budget, mark := "", ""
 		if f.Budget != nil {
 			budget = short(f.Budget.Most)
@@ -54,7 +67,6 @@
 		if f.Over() {
 			mark = "**over budget**"
 		}
-		fmt.Fprintf(&text, "| %s | %s | %s | %s | %s |\n", f.Name, short(f.Value), f.Unit, budget, mark)
+		fmt.Fprintf(text, "| %s | %s | %s | %s | %s |\n", f.Name, short(f.Value), f.Unit, budget, mark)
 	}
-	return text.String()
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -95,7 +95,7 @@
 }
 
 // Over tells whether a figure breaks its budget.
-func (r *RunResult) Over() bool { return slices.ContainsFunc(r.Figures, Figure.Over) }
+func (r *RunResult) Over() bool { return anyOver(r.Figures) }
 
 // run is a run under way.
 type run struct {
--- a/internal/scale/target.go
+++ b/internal/scale/target.go
@@ -1,6 +1,9 @@
 package scale
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The size for which the fleet is planned, and what it may cost there.
 const (
@@ -41,4 +44,7 @@
 // Over tells whether the figure breaks its budget.
 func (f Figure) Over() bool { return f.Budget != nil && f.Value > f.Budget.Most }
 
+// anyOver tells whether one of the figures breaks its budget.
+func anyOver(figures []Figure) bool { return slices.ContainsFunc(figures, Figure.Over) }
+
 func milliseconds(d time.Duration) float64 { return d.Seconds() * 1e3 }
