Measure a configuration read again, and end a scale run's processes at once

A run that failed ended its processes one after another, up to 20 s each: minutes on a machine that they hold busy. They are told to end at the same time now.

--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -68,15 +68,7 @@
 		return err
 	}
 	p.listen = listen
-	config := map[string]any{
-		"name": spec.name, "listen": listen, "discovery": spec.discovery, "seed": fmt.Sprintf("%x", spec.self+1),
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": spec.sockets},
-		"settings": json.RawMessage(settings(spec.ingresses, spec.self)),
-	}
-	if spec.known != nil {
-		config["known"] = spec.known
-	}
-	text, err := json.Marshal(config)
+	text, err := configText(spec, listen)
 	if err != nil {
 		return err
 	}
@@ -99,6 +91,19 @@
 	return nil
 }
 
+// configText is the configuration of an ingress that listens at an address.
+func configText(spec processSpec, listen string) ([]byte, error) {
+	config := map[string]any{
+		"name": spec.name, "listen": listen, "discovery": spec.discovery, "seed": fmt.Sprintf("%x", spec.self+1),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": spec.sockets},
+		"settings": json.RawMessage(settings(spec.ingresses, spec.self)),
+	}
+	if spec.known != nil {
+		config["known"] = spec.known
+	}
+	return json.Marshal(config)
+}
+
 var errNotReady = errors.New("it is not ready in time")
 
 // waitReady asks until the ingress answers that it is ready.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -177,13 +177,16 @@
 	return nil
 }
 
+// stop ends all that start has started, at the same time.
 func (r *run) stop() {
+	var ending sync.WaitGroup
 	for _, p := range r.real {
-		p.stop()
+		ending.Go(p.stop)
 	}
 	for _, h := range r.hollows {
-		h.stop()
+		ending.Go(h.stop)
 	}
+	ending.Wait()
 	if r.discovery != nil {
 		r.discovery.close()
 	}
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"runtime"
 	"time"
 
@@ -36,7 +37,7 @@
 		sizes   []int
 		measure []func(size int) error
 	}{
-		{"backends", options.Backends, []func(int) error{m.lists, m.requests, m.start, m.live}},
+		{"backends", options.Backends, []func(int) error{m.lists, m.configuration, m.requests, m.start, m.live}},
 		{"tenants", options.Tenants, []func(int) error{m.tenants}},
 		{"connections", options.Connections, []func(int) error{m.connections}},
 	}
@@ -268,3 +269,31 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc + stats.StackInuse)
 }
+
+// configuration measures how long a running ingress takes to read its
+// configuration again, rests included. The list of backends in it is passed over.
+func (m *measurement) configuration(size int) error {
+	fleet := newFleet(size, 1)
+	text, err := configText(processSpec{name: "i0", ingresses: TargetIngresses, discovery: "127.0.0.1:1", known: &fleet}, "127.0.0.1:2")
+	if err != nil {
+		return err
+	}
+	file, err := os.CreateTemp("", "scale-*.json")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(file.Name())
+	defer file.Close()
+	if _, err := file.Write(text); err != nil {
+		return err
+	}
+	begun := time.Now()
+	_, err = ingress.ReloadConfig(func(name string) string {
+		if name == "NODE_CONFIG" {
+			return file.Name()
+		}
+		return ""
+	})
+	m.record("a configuration read again", "ms", size, milliseconds(time.Since(begun)))
+	return err
+}
