Bound the records of customers by the memory

Cause, read off the code: every name that a valid request gives got a record of 1.3 KB, kept for 60 meter periods, without a bound on their number. A client that makes names up at 10,000 requests a second would fill 780 MB where an ingress has 192.

Change: as many customers are known as a quarter of the memory holds (Config.MaxCustomers: 36,000 at 192 MB, 1,024 at least), and those with attempts out; the longest idle makes room. If his part of a ceiling was not full, all whom the gateway meets from then on begin with an empty one, for he may come back.

--- a/choice/api.go
+++ b/choice/api.go
@@ -10,7 +10,11 @@
 // events give the same actions. A Gateway is not safe for concurrent use.
 package choice
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // Config is what a deployment states to each of its gateways. Durations and
 // rates are as stated; New returns an error that names what cannot be served.
@@ -36,6 +40,9 @@
 	WeightsTrusted bool     // Backend.Weight is the registered size, at least roughly
 	ReportFields   []string // order of the values in a load report; "inflight" and "latency_ms" are known
 
+	// MaxCustomers is how many customers are known at most, but for those with attempts out; 0: no bound.
+	MaxCustomers int
+
 	ColdFrom      float64       // a backend starts at this part of its capacity, or more
 	ColdFor       time.Duration // and is warm after this at most
 	FallMultiple  float64       // a cold backend sent more than this multiple of its capacity
@@ -48,6 +55,38 @@
 	CrossZoneCost  float64 // price of an attempt that leaves the zone, as a part of a request's worth
 }
 
+// check names the first field that cannot be served.
+func (cfg *Config) check() error {
+	switch {
+	case cfg.Gateways < 1:
+		return fmt.Errorf("choice: Config.Gateways is %d, want at least 1", cfg.Gateways)
+	case cfg.Self < 0 || cfg.Self >= cfg.Gateways:
+		return fmt.Errorf("choice: Config.Self is %d, outside the %d gateways", cfg.Self, cfg.Gateways)
+	case cfg.MaxAttempts < 1:
+		return fmt.Errorf("choice: Config.MaxAttempts is %d, want at least 1", cfg.MaxAttempts)
+	case len(cfg.Classes) == 0:
+		return fmt.Errorf("choice: Config.Classes is empty")
+	case len(cfg.Plans) == 0:
+		return fmt.Errorf("choice: Config.Plans is empty")
+	case cfg.MeterPeriod < 0:
+		return fmt.Errorf("choice: Config.MeterPeriod is negative")
+	}
+	for i, c := range cfg.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 {
+			return fmt.Errorf("choice: Config.Classes[%d]: Aim and Deadline must be above 0", i)
+		}
+	}
+	for i, p := range cfg.Plans {
+		names := [...]string{"Rate", "Burst", "Open", "CeilingRate", "CeilingBurst"}
+		for j, v := range [...]float64{p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("choice: Config.Plans[%d].%s is %v, want 0 or more", i, names[j], v)
+			}
+		}
+	}
+	return nil
+}
+
 // Effect tells what repeating a request of a class may do.
 type Effect int
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,7 +91,8 @@
 	born      time.Duration
 	slot      time.Duration // length of a slot of own history
 	customers map[account]*customer
-	idle      []list.List // the customers of each plan, the longest idle first
+	idle      []list.List   // the customers of each plan, the longest idle first
+	forgot    time.Duration // when one whose part of a ceiling was not full was last forgotten; or the start
 	requests  map[uint32]*request
 	backends  map[uint32]*backend
 	fleet     backendSet  // the ready ones
@@ -102,8 +103,8 @@
 	fleetOut  int         // attempts out at the fleet
 	coldOut   int         // and at its cold ones, when last looked at
 	listing   uint64      // number of the last list
-	ejections ejections
-	ejected   int // of the fleet, now
+	ejections []ejection  // the next to end first
+	ejected   int         // of the fleet, now
 	classes   []classSeen
 	advice    time.Duration   // given with a refusal
 	bank      float64         // further attempts that may be made
@@ -221,37 +222,15 @@
 
 // New makes a gateway. Its error names the field of cfg that cannot be served.
 func New(cfg Config, seed uint64, now time.Duration, act Actions) (*Gateway, error) {
-	switch {
-	case act == nil:
+	if act == nil {
 		return nil, fmt.Errorf("choice: Actions is nil")
-	case cfg.Gateways < 1:
-		return nil, fmt.Errorf("choice: Config.Gateways is %d, want at least 1", cfg.Gateways)
-	case cfg.Self < 0 || cfg.Self >= cfg.Gateways:
-		return nil, fmt.Errorf("choice: Config.Self is %d, outside the %d gateways", cfg.Self, cfg.Gateways)
-	case cfg.MaxAttempts < 1:
-		return nil, fmt.Errorf("choice: Config.MaxAttempts is %d, want at least 1", cfg.MaxAttempts)
-	case len(cfg.Classes) == 0:
-		return nil, fmt.Errorf("choice: Config.Classes is empty")
-	case len(cfg.Plans) == 0:
-		return nil, fmt.Errorf("choice: Config.Plans is empty")
-	case cfg.MeterPeriod < 0:
-		return nil, fmt.Errorf("choice: Config.MeterPeriod is negative")
 	}
-	for i, c := range cfg.Classes {
-		if c.Aim <= 0 || c.Deadline <= 0 {
-			return nil, fmt.Errorf("choice: Config.Classes[%d]: Aim and Deadline must be above 0", i)
-		}
-	}
-	for i, p := range cfg.Plans {
-		names := [...]string{"Rate", "Burst", "Open", "CeilingRate", "CeilingBurst"}
-		for j, v := range [...]float64{p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst} {
-			if !(v >= 0) || math.IsInf(v, 0) {
-				return nil, fmt.Errorf("choice: Config.Plans[%d].%s is %v, want 0 or more", i, names[j], v)
-			}
-		}
+	if err := cfg.check(); err != nil {
+		return nil, err
 	}
 	g := &Gateway{
-		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))), now: now, born: now,
+		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
+		now: now, born: now, forgot: now,
 		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
 		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
 		zones: map[int]float64{},
@@ -312,10 +291,12 @@
 	c := g.customers[key]
 	if c == nil {
 		p := &g.cfg.Plans[in.Plan]
+		g.makeRoom()
 		// The part of the ceiling is empty at the gateway's start, for the life before may have drawn it all,
 		// and fills from then on, whether the customer is known or not.
 		c = &customer{account: key, plan: p, chance: 1 / startUse, applied: 1, store: p.Burst, storeAt: g.now,
-			ceilAt: g.born, count: ownCount{at: g.now}, mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
+			ceilAt: g.forgot, count: ownCount{at: g.now},
+			mean: startUse * p.Rate * g.cfg.MeterPeriod.Seconds()}
 		if p.Rate <= 0 {
 			c.mean = startUse
 		}
@@ -575,10 +556,44 @@
 				g.idle[i].MoveToBack(c.place)
 				continue
 			}
-			g.idle[i].Remove(c.place)
-			delete(g.customers, c.account)
+			g.drop(c)
+		}
+	}
+}
+
+// drop forgets a customer.
+func (g *Gateway) drop(c *customer) {
+	g.idle[c.account.plan].Remove(c.place)
+	delete(g.customers, c.account)
+}
+
+// makeRoom forgets the longest idle customers where as many are known as may be: whoever makes names up must
+// not fill the memory. If the part of a ceiling of one was not full, all whom the gateway meets from now on
+// begin with an empty one, for he may be among them.
+func (g *Gateway) makeRoom() {
+	most := g.cfg.MaxCustomers
+	for tries := 0; most > 0 && len(g.customers) >= most && tries < sweepMost; tries++ {
+		if c := g.longestIdle(); c != nil {
+			if c.plan.CeilingRate > 0 && !g.ceilingHolds(c, c.plan.CeilingBurst/c.spread) {
+				g.forgot = g.now
+			}
+			g.drop(c)
+		}
+	}
+}
+
+// longestIdle returns the one of the longest idle customers of each plan that has nothing out, or nil.
+func (g *Gateway) longestIdle() (longest *customer) {
+	for i := range g.idle {
+		if front := g.idle[i].Front(); front != nil {
+			if c := front.Value.(*customer); c.open > 0 {
+				g.idle[i].MoveToBack(front) // the next one may do
+			} else if longest == nil || c.last < longest.last {
+				longest = c
+			}
 		}
 	}
+	return longest
 }
 
 // Ceiling.
--- a/choice/membership.go
+++ b/choice/membership.go
@@ -1,8 +1,9 @@
 package choice
 
 import (
-	"container/heap"
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -202,32 +203,13 @@
 	*backend
 }
 
-// ejections is a heap of them, the next to end first.
-type ejections []ejection
-
-// Len implements heap.Interface, as do the methods below.
-func (e ejections) Len() int { return len(e) }
-
-// Less orders by the end.
-func (e ejections) Less(i, j int) bool { return e[i].until < e[j].until }
-
-// Swap exchanges two.
-func (e ejections) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push appends one.
-func (e *ejections) Push(last any) { *e = append(*e, last.(ejection)) }
-
-// Pop takes the last one off.
-func (e *ejections) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // eject keeps a backend from further requests until a time.
 func (g *Gateway) eject(b *backend, until time.Duration) {
 	b.until = until
-	heap.Push(&g.ejections, ejection{until, b})
+	place, _ := slices.BinarySearchFunc(g.ejections, until, func(e ejection, until time.Duration) int {
+		return cmp.Compare(e.until, until)
+	})
+	g.ejections = slices.Insert(g.ejections, place, ejection{until, b})
 	if g.fleet.has(b) {
 		g.ejected++
 	}
@@ -245,7 +227,8 @@
 // expireEjections counts no more the ejections that have ended.
 func (g *Gateway) expireEjections() {
 	for len(g.ejections) > 0 && g.ejections[0].until <= g.now {
-		e := heap.Pop(&g.ejections).(ejection)
+		e := g.ejections[0]
+		g.ejections = g.ejections[1:]
 		if e.backend.until == e.until && g.fleet.has(e.backend) {
 			g.ejected--
 		}
--- a/choice/membership_test.go
+++ b/choice/membership_test.go
@@ -132,6 +132,67 @@
 	}
 }
 
+// Whoever makes names up fills no memory: as many customers are known as may be,
+// and those with attempts out besides.
+func TestMadeUpCustomersAreBounded(t *testing.T) {
+	const most = 50
+	cfg := plain()
+	cfg.Gateways, cfg.MaxCustomers = 1, most
+	cfg.Plans = append(cfg.Plans, cfg.Plans[0])
+	g, rec := open(t, cfg, backends(300))
+	out := 0
+	for id := uint32(1); id <= 2000; id++ {
+		now := time.Duration(id) * ms
+		r := choice.Request{ID: id, Customer: uint64(id), Plan: int(id % 2), Spread: 1, Units: 1, TimeLeft: time.Hour}
+		if id%20 == 0 { // its attempt stays out
+			if g.Request(now, r); len(rec.sent[id]) > 0 {
+				out++
+			}
+			continue
+		}
+		ask(g, rec, now, r, -1)
+		if n := choice.Customers(g); n > most+out {
+			t.Fatalf("%d customers are known with attempts of %d out, want %d and these at most", n, out, most)
+		}
+	}
+	if n := choice.Customers(g); out < 10 || n < most {
+		t.Errorf("%d customers are known with attempts of %d out, want %d at least and 10", n, out, most)
+	}
+}
+
+// A customer whose part of a ceiling is drawn does not get it afresh by being
+// crowded out.
+func TestCrowdedOutCustomerGetsNoFreshCeiling(t *testing.T) {
+	cfg := plain()
+	cfg.Gateways, cfg.MaxCustomers = 1, 20
+	cfg.Plans[0] = choice.Plan{Rate: 100, Burst: 100, CeilingRate: 0.5, CeilingBurst: 40, Price: 1}
+	g, rec := open(t, cfg, backends(4))
+	now, id := 200*time.Second, uint32(0) // the part of 40 has filled
+	take := func(customer uint64, tries int) (n int) {
+		for range tries {
+			id++
+			if ask(g, rec, now, choice.Request{ID: id, Customer: customer, Spread: 1}, -1) {
+				n++
+			}
+		}
+		return n
+	}
+	if first := take(1, 60); first != 40 {
+		t.Fatalf("%d passed of a full part, want 40", first)
+	}
+	for other := uint64(2); other < 40; other++ {
+		now += ms
+		take(other, 1)
+	}
+	if again := take(1, 60); again > 0 {
+		t.Errorf("%d passed after he was crowded out, want none", again)
+	}
+	now += 20 * time.Second
+	if later := take(1, 60); later > 10 {
+		t.Errorf("%d passed 20 s later, want the 10 that have filled at most", later)
+	}
+}
+
 // BenchmarkMembers measures one change, and a complete list, by the size of the fleet.
 func BenchmarkMembers(b *testing.B) {
 	for name, size := range map[string]uint32{"1500": 1500, "12000": 12_000, "24000": 24_000} {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -46,6 +46,9 @@
 	defaultMemory  = 192
 	listShare      = 16      // of the memory: what the text of one list may take
 	listLeast      = 4 << 20 // bytes that it may take in any case
+	customerShare  = 4       // of the memory: what the records of customers may take
+	customerBytes  = 1400    // of one record, as measured
+	customersLeast = 1024    // records that are kept in any case
 )
 
 // Apply sets the Go runtime's bounds for the whole process.
@@ -61,6 +64,11 @@
 // list bounds the text of a list of backends, in bytes.
 func (l Limits) list() int { return max(listLeast, l.MemoryMB<<20/listShare) }
 
+// customers bounds the records of customers.
+func (l Limits) customers() int {
+	return max(customersLeast, l.MemoryMB<<20/customerShare/customerBytes)
+}
+
 // Config is all that one ingress is told at its start.
 type Config struct {
 	Name      string
@@ -215,6 +223,7 @@
 	if cfg.Limits.MemoryMB <= 0 {
 		cfg.Limits.MemoryMB = defaultMemory
 	}
+	cfg.Choice.MaxCustomers = cfg.Limits.customers()
 	if cfg.connIdle <= 0 {
 		cfg.connIdle = 15 * time.Second
 	}
--- a/internal/ingress/config_test.go
+++ b/internal/ingress/config_test.go
@@ -47,3 +47,13 @@
 		t.Errorf("no list: %+v, %v", cfg.Known, err)
 	}
 }
+
+// As many customers are known as a part of the memory holds, and a thousand in any case.
+func TestCustomersAreBoundedByTheMemory(t *testing.T) {
+	for memory, want := range map[int]int{1: 1024, 48: 8987, 192: 35951} {
+		cfg, err := ParseConfig(fmt.Appendf(nil, `{"limits":{"memory_mb":%d},"settings":%s}`, memory, fmt.Sprintf(settings, 1000)))
+		if err != nil || cfg.Choice.MaxCustomers != want {
+			t.Errorf("with %d MB %d customers are known at most, %v; want %d", memory, cfg.Choice.MaxCustomers, err, want)
+		}
+	}
+}
