--- a/cmd/scale/main.go
+++ b/cmd/scale/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -110,9 +111,9 @@
 }
 
 type runCommand struct {
-	Ingresses int           `help:"Ingresses in all." default:"810"`
+	Ingresses int           `help:"Ingresses in all." default:"${ingresses}"`
 	Real      int           `help:"Of them, whole processes that carry load." default:"4"`
-	Backends  int           `help:"Backends before them." default:"12000"`
+	Backends  int           `help:"Backends before them." default:"${backends}"`
 	Seed      uint64        `help:"Seed of the load." default:"1"`
 	Rate      float64       `help:"Requests a second to each real ingress." default:"250"`
 	Quiet     time.Duration `help:"How long nothing changes." default:"15s"`
@@ -221,6 +222,7 @@
 	var all commands
 	parser, err := kong.New(&all, kong.Name("scale"), kong.Writers(stdout, stderr),
 		kong.Description("Measures what an ingress costs at sizes beyond today's fleets."),
+		kong.Vars{"ingresses": strconv.Itoa(scale.TargetIngresses), "backends": strconv.Itoa(scale.TargetBackends)},
 		kong.Exit(func(status int) { panic(exited(status)) }))
 	if err != nil {
 		fmt.Fprintln(stderr, "scale:", err)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -51,9 +51,6 @@
 	return &View{entries: map[string]*entry{}, holders: map[string]*entry{}}
 }
 
-// Len tells how many members discovery has told and not taken back.
-func (v *View) Len() int { return len(v.entries) }
-
 // pending is a line that may change something.
 type pending struct {
 	*entry
--- a/internal/scale/backends.go
+++ b/internal/scale/backends.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/tidwall/redcon"
 )
@@ -14,7 +13,6 @@
 type backends struct {
 	listener net.Listener
 	port     int
-	served   atomic.Int64
 
 	mu    sync.Mutex
 	down  map[string]bool // addresses whose process is gone
@@ -72,7 +70,6 @@
 		if _, err := commands.ReadCommand(); err != nil {
 			return
 		}
-		b.served.Add(1)
 		answer := redcon.AppendArray(nil, 3)
 		answer = redcon.AppendBulkString(answer, "value")
 		answer = redcon.AppendBulkString(answer, usedOfQuota)
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -150,12 +150,11 @@
 	command *exec.Cmd
 	in      io.WriteCloser
 	samples *json.Decoder
-	count   int // ingresses in it
 }
 
 // startHollow starts a process of the program given, which is this one.
 func startHollow(ctx context.Context, program string, spec HollowSpec) (*hollow, error) {
-	h := &hollow{command: exec.CommandContext(ctx, program, "--logs", "error", "hollow"), count: len(spec.Agents)}
+	h := &hollow{command: exec.CommandContext(ctx, program, "--logs", "error", "hollow")}
 	h.command.Stderr = os.Stderr
 	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	var err error
--- a/internal/scale/target.go
+++ b/internal/scale/target.go
@@ -7,13 +7,11 @@
 
 // The size for which the fleet is planned, and what it may cost there.
 const (
-	TargetIngresses         = 810
-	TargetBackends          = 12_000
-	TargetTenants           = 32_000
-	TargetRequestsPerSecond = 130_000
-	TargetRegions           = 2
-	TargetZonesPerRegion    = 4
-	TargetChangesPerDay     = 700 // of the configuration
+	TargetIngresses      = 810
+	TargetBackends       = 12_000
+	TargetTenants        = 32_000
+	TargetRegions        = 2
+	TargetZonesPerRegion = 4
 )
 
 // Budget bounds one figure.
