--- a/choice/membership.go
+++ b/choice/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -81,15 +80,15 @@
 		g.kept.remove(b)
 		b.fails, b.lat, b.kept = 0, 1, 0
 	}
-	if g.fleet.has(b) {
-		g.sizes -= g.size(b)
+	switch {
+	case !g.fleet.has(b):
+	case m.State == Ready:
+		g.sizes -= g.size(b) // it joins with the new one
+	default:
+		g.leave(b)
 	}
-	b.Backend = m
-	if m.State == Ready {
+	if b.Backend = m; m.State == Ready {
 		g.join(b)
-	} else if g.fleet.has(b) {
-		g.sizes += g.size(b)
-		g.leave(b)
 	}
 	g.forget(b)
 }
@@ -102,12 +101,12 @@
 			g.leave(b)
 		}
 	}
-	maps.DeleteFunc(g.backends, func(_ uint32, b *backend) bool {
+	for _, b := range g.backends {
 		if b.listing != g.listing {
 			b.State = Removed
+			g.forget(b)
 		}
-		return b.State == Removed && b.out == 0
-	})
+	}
 }
 
 // forget drops a backend that was removed, once nothing is out at it.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -79,7 +79,7 @@
 	var displaced []*entry
 	for i := range lines {
 		if i%PauseEvery == 0 {
-			rest(pause)
+			call(pause)
 		}
 		if other := v.claim(lines[i].entry); other != nil {
 			displaced = append(displaced, other)
@@ -88,18 +88,12 @@
 	return changes(missing, displaced, lines)
 }
 
-func rest(pause func()) {
-	if pause != nil {
-		pause()
-	}
-}
-
 // compare returns the lines that differ from what is held, the last one of each
 // member, in the order of the list.
 func (v *View) compare(list List, pause func()) (lines []pending) {
 	for i, m := range list.Members {
 		if i%PauseEvery == 0 {
-			rest(pause)
+			call(pause)
 		}
 		v.told++
 		e, isNew := v.entries[m.ID], false
--- a/internal/scale/discovery.go
+++ b/internal/scale/discovery.go
@@ -134,6 +134,13 @@
 	}
 }
 
+// revision is that of the last change.
+func (d *discovery) revision() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list.Revision
+}
+
 // silence cuts agents off, or brings them back: what was changed in between is
 // then told at once.
 func (d *discovery) silence(silent bool, agents ...int) {
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -40,7 +40,8 @@
 	folder  string
 	listen  string
 	ended   chan struct{}
-	err     error         // valid once ended is closed
+	err     error // valid once ended is closed
+	begun   time.Time
 	ready   time.Duration // from its start to its first answer
 }
 
@@ -79,11 +80,10 @@
 	p.command = exec.CommandContext(ctx, spec.program)
 	p.command.Env = append(os.Environ(), "NODE_CONFIG="+path)
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	begun := time.Now()
+	p.begun = time.Now()
 	if err := p.command.Start(); err != nil {
 		return err
 	}
-	p.ready = -time.Until(begun)
 	go func() {
 		p.err = p.command.Wait()
 		close(p.ended)
@@ -108,8 +108,7 @@
 
 // waitReady asks until the ingress answers that it is ready.
 func (p *process) waitReady(ctx context.Context) error {
-	begun := time.Now()
-	for time.Since(begun) < readyWithin {
+	for time.Since(p.begun) < readyWithin {
 		select {
 		case <-p.ended:
 			return fmt.Errorf("it ended before it was ready: %w", p.err)
@@ -118,7 +117,7 @@
 		case <-time.After(readyPause):
 		}
 		if answersPing(p.listen) {
-			p.ready += time.Since(begun)
+			p.ready = time.Since(p.begun)
 			return nil
 		}
 	}
@@ -132,12 +131,17 @@
 		return false
 	}
 	defer connection.Close()
-	connection.SetDeadline(time.Now().Add(readyTimeout))
+	line, err := ping(connection, readyTimeout)
+	return err == nil && line == "+PONG\r\n"
+}
+
+// ping asks on a connection whether clients are let in, and returns the line that answers.
+func ping(connection net.Conn, timeout time.Duration) (line string, err error) {
+	connection.SetDeadline(time.Now().Add(timeout))
 	if _, err := connection.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
-		return false
+		return "", err
 	}
-	line, err := bufio.NewReader(connection).ReadString('\n')
-	return err == nil && line == "+PONG\r\n"
+	return bufio.NewReader(connection).ReadString('\n')
 }
 
 // stop ends the process, by force if it must.
@@ -161,78 +165,3 @@
 	defer listener.Close()
 	return listener.Addr().String(), nil
 }
-
-// start measures how long an ingress process takes to be ready, by the size of
-// the list that its configuration and discovery tell.
-func (m *measurement) start(size int) error {
-	fleet := newFleet(size, 1)
-	discovery, err := startDiscovery(fleet, 0)
-	if err != nil {
-		return err
-	}
-	defer discovery.close()
-	spec := processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
-		discovery: discovery.agentAddress(0), sockets: 1024}
-	starts := []struct {
-		name  string
-		known *membership.List
-	}{{"start to ready, list known", &fleet}, {"start to ready, no list", nil}}
-	for _, start := range starts {
-		spec.known = start.known
-		p, err := startProcess(m.ctx, spec)
-		if err != nil {
-			return err
-		}
-		m.record(start.name, "ms", size, milliseconds(p.ready))
-		resident, err := residentMemory(p.command.Process.Pid)
-		p.stop()
-		if err != nil {
-			return err
-		}
-		m.record("resident memory after "+start.name, "MB", size, float64(resident)/1e6)
-	}
-	return nil
-}
-
-// connections measures the memory that idle connections of clients take.
-func (m *measurement) connections(size int) error {
-	fleet := newFleet(100, 1)
-	discovery, err := startDiscovery(fleet, 0)
-	if err != nil {
-		return err
-	}
-	defer discovery.close()
-	p, err := startProcess(m.ctx, processSpec{program: m.options.Ingress, name: "i0", ingresses: TargetIngresses,
-		discovery: discovery.agentAddress(0), sockets: 2 * size * connectionsPart})
-	if err != nil {
-		return err
-	}
-	defer p.stop()
-	before, err := residentMemory(p.command.Process.Pid)
-	if err != nil {
-		return err
-	}
-	for range size {
-		connection, err := net.Dial("tcp", p.listen)
-		if err != nil {
-			return err
-		}
-		defer connection.Close()
-		connection.SetDeadline(time.Now().Add(readyWithin))
-		if _, err := connection.Write([]byte("*1\r\n$4\r\nPING\r\n")); err != nil {
-			return err
-		}
-		if _, err := bufio.NewReader(connection).ReadString('\n'); err != nil {
-			return err
-		}
-	}
-	after, err := residentMemory(p.command.Process.Pid)
-	if err != nil {
-		return err
-	}
-	m.record("resident memory for connections", "MB", size, float64(after-before)/1e6)
-	return nil
-}
-
-// connectionsPart is over the part of an ingress's sockets that clients may hold.
-const connectionsPart = 2
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// hollows are how many ingresses run without clients.
+func (o RunOptions) hollows() int { return o.Ingresses - o.Real }
+
 // phaseStart is the phase in which all ingresses get their first list.
 const phaseStart = "start"
 
@@ -159,7 +162,7 @@
 
 // startHollows spreads the ingresses without clients over some processes.
 func (r *run) startHollows() error {
-	first, left := r.options.Real, r.options.Ingresses-r.options.Real
+	first, left := r.options.Real, r.options.hollows()
 	processes := min(left, hollowProcessesPerCore*runtime.NumCPU())
 	for i := range processes {
 		spec := HollowSpec{Ingresses: r.options.Ingresses, First: first}
@@ -223,7 +226,7 @@
 	if err != nil {
 		return err
 	}
-	r.heap = float64(last.Heap) / 1e6 / float64(r.options.Ingresses-r.options.Real)
+	r.heap = float64(last.Heap) / 1e6 / float64(r.options.hollows())
 	return nil
 }
 
@@ -286,7 +289,7 @@
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	took := time.Since(begun).Seconds()
-	hollows := r.options.Ingresses - r.options.Real
+	hollows := r.options.hollows()
 	total, most, worst := r.discovery.sentSoFar()
 	p := Phase{Name: name, Seconds: took, Changes: len(r.published), Lines: r.lines,
 		Processor: 100 * (after.Processor - before.Processor).Seconds() / took / float64(hollows),
@@ -326,9 +329,7 @@
 // settle waits until every ingress without clients holds the last revision, and
 // returns the last sample with all lists applied since the phase began.
 func (r *run) settle(before hollowSample) (last hollowSample, applied []appliedList, err error) {
-	r.discovery.mu.Lock()
-	wanted := r.discovery.list.Revision
-	r.discovery.mu.Unlock()
+	wanted := r.discovery.revision()
 	held := map[int]bool{}
 	note := func(lists []appliedList) {
 		applied = append(applied, lists...)
@@ -339,7 +340,7 @@
 		}
 	}
 	note(before.Applied)
-	hollows := r.options.Ingresses - r.options.Real
+	hollows := r.options.hollows()
 	quiet := len(r.published) == 0 && len(r.result.Phases) > 0
 	for begun := time.Now(); ; {
 		if last, err = r.samples(askSample); err != nil {
--- a/internal/scale/timeline.go
+++ b/internal/scale/timeline.go
@@ -63,28 +63,23 @@
 }
 
 // loseZone takes all backends of one zone away at once.
-func (r *run) loseZone() error {
-	lost := inZone(r.fleet, zones[1])
-	var addresses []string
-	var changes []*membership.Member
-	for _, number := range lost {
-		changes = append(changes, r.become(number, membership.PhaseDeleted, 0))
-		addresses = append(addresses, r.fleet.Members[number].HostPort)
-	}
-	r.backends.setDown(true, addresses...)
-	r.publish(changes...)
-	return r.sleep(r.options.Zone / 2)
-}
+func (r *run) loseZone() error { return r.changeZone(membership.PhaseDeleted, 0) }
 
 // returnZone starts the backends of that zone again, all at once.
 func (r *run) returnZone() error {
+	return r.changeZone(membership.PhaseServing, time.Now().UnixMilli())
+}
+
+// changeZone gives all backends of one zone a phase and a start.
+func (r *run) changeZone(phase string, upSince int64) error {
 	var addresses []string
 	var changes []*membership.Member
 	for _, number := range inZone(r.fleet, zones[1]) {
-		changes = append(changes, r.become(number, membership.PhaseServing, time.Now().UnixMilli()))
-		addresses = append(addresses, r.fleet.Members[number].HostPort)
+		changed := r.become(number, phase, upSince)
+		changes = append(changes, changed)
+		addresses = append(addresses, changed.HostPort)
 	}
-	r.backends.setDown(false, addresses...)
+	r.backends.setDown(phase == membership.PhaseDeleted, addresses...)
 	r.publish(changes...)
 	return r.sleep(r.options.Zone / 2)
 }
