Log requests, attempts, connections and states with the reason of every end

Cause: the incident's logs held nothing but the start of each process, so it could not be told on which connections the lost requests came, nor why anything was refused, retried or closed. The change: internal/eventlog writes typed events as structured lines, on a goroutine of its own, so that a log that nobody reads holds nobody up (bounded, dropped lines are counted). Changes of state are always written; single requests, attempts and connections, with the clients' ids and the reason of every refusal, retry and close, from SIGTERM on or with CEDARSEAM_LOG=detailed. Actions.Refuse and Actions.Fail take a Reason; nothing is decided by it, and the implementations in tests only take the further argument. Ends of a client's connection are told apart by their error.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -14,26 +14,30 @@
 		return
 	}
 	if in.Class < 0 || in.Class >= len(g.cfg.Classes) || in.Plan < 0 || in.Plan >= len(g.cfg.Plans) ||
-		in.TimeLeft <= 0 || !(in.Units >= 0) || math.IsInf(in.Units, 1) {
-		g.act.Refuse(in.ID, 0)
+		!(in.Units >= 0) || math.IsInf(in.Units, 1) {
+		g.act.Refuse(in.ID, 0, Invalid)
+		return
+	}
+	if in.TimeLeft <= 0 {
+		g.act.Refuse(in.ID, 0, NoTime)
 		return
 	}
 	c := g.customer(in)
 	r := &request{Request: in, cust: c, deadline: now + in.TimeLeft}
-	if !g.admit(c, r) {
-		g.act.Refuse(r.ID, g.advice)
+	if reason := g.admit(c, r); reason != None {
+		g.act.Refuse(r.ID, g.advice, reason)
 		return
 	}
 	g.requests[in.ID] = r
-	if !g.send(r) {
+	if reason := g.send(r); reason != None {
 		delete(g.requests, in.ID)
-		g.act.Refuse(r.ID, g.advice)
+		g.act.Refuse(r.ID, g.advice, reason)
 	}
 }
 
 // admit is the ordinary path. While the store that the meter shows holds units, this gateway's even share of
 // them passes without the chance; all else meets the one chance a = 1 - b.
-func (g *Gateway) admit(c *customer, r *request) bool {
+func (g *Gateway) admit(c *customer, r *request) Reason {
 	g.roll(c)
 	u := r.Units
 	surge := g.surge(c, r.Repeat)
@@ -46,10 +50,13 @@
 	if !pressed {
 		g.clear += clearAverage
 	}
-	if pressed || !g.ceilingHolds(c, u) {
-		chance = 0
+	against := Quota
+	if pressed {
+		chance, against = 0, Pressure
+	} else if !g.ceilingHolds(c, u) {
+		chance, against = 0, Ceiling
 	} else if p.Open > 0 && float64(c.open) >= math.Ceil(float64(p.Open)/c.spread) {
-		chance = 0
+		chance, against = 0, OpenCap
 	} else if p.Rate > 0 && g.share(c, c.spread, 0) >= u {
 		chance = 1
 	} else if p.Rate > 0 && g.now-c.storeAt < time.Duration(boundPeriods*float64(g.cfg.MeterPeriod)) {
@@ -64,10 +71,10 @@
 	s.chance += float32(chance)
 	s.met++
 	if chance < 1 && g.rng.Float64() >= chance {
-		return false
+		return against
 	}
 	s.passed += float32(u)
-	return true
+	return None
 }
 
 // counted is the chance of a customer whom no meter ever shows. The offered rate is estimated from what is
--- a/choice/api.go
+++ b/choice/api.go
@@ -224,15 +224,45 @@
 	Load    Load
 }
 
+// Reason tells why a request was refused or failed, for logs. Nothing is decided by it.
+type Reason int
+
+// The reasons. None means that nothing stood against the request or the attempt.
+const (
+	None          Reason = iota
+	Invalid              // the request names what the settings do not have
+	NoTime               // its client gives it up now
+	Quota                // the customer's chance, or the store that the meter shows
+	Ceiling              // this gateway's part of the customer's hard ceiling is drawn
+	OpenCap              // the customer has as many attempts out as the plan allows
+	Pressure             // the window of attempts out is full
+	NoBackend            // no backend may be sent to
+	AttemptsSpent        // it has had all attempts that the settings allow
+	CopyOut              // an attempt is out, and the settings allow no second copy
+	RetryBudget          // too few further attempts have been earned
+	NotRepeatable        // an attempt may have run, and the class must not run twice
+	Abandoned            // the attempt was called off before it was written
+)
+
+var reasonNames = [...]string{"none", "invalid", "no-time", "quota", "ceiling", "open-cap", "pressure",
+	"no-backend", "attempts-spent", "copy-out", "retry-budget", "not-repeatable", "abandoned"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+var statusNames = [...]string{"ok", "error", "refused", "timeout", "connect-failed", "reset", "cancelled",
+	"moot"}
+
+func (s Status) String() string { return statusNames[s] }
+
 // Actions is what a Gateway does. Calls come only from within its methods and
 // must not call back into it.
 type Actions interface {
 	// Send starts the next attempt of a request, given up after timeout.
 	Send(id, backend uint32, timeout time.Duration)
 	// Refuse is a final answer: trying again does no harm. After 0 gives no advice.
-	Refuse(id uint32, after time.Duration)
+	Refuse(id uint32, after time.Duration, reason Reason)
 	// Fail is a final answer that promises nothing.
-	Fail(id uint32)
+	Fail(id uint32, reason Reason)
 	// Cancel stops the wait for an attempt.
 	Cancel(id uint32, attempt int)
 	// Probe checks a backend.
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -8,21 +8,26 @@
 	"time"
 )
 
-// send starts the next attempt of r, if one is allowed and worth it.
-func (g *Gateway) send(r *request) bool {
+// send starts the next attempt of r, or tells what stands against it.
+func (g *Gateway) send(r *request) Reason {
 	left := r.deadline - g.now
-	if len(r.attempts) >= g.cfg.MaxAttempts || left <= 0 || r.out > 0 && !g.cfg.SecondCopies {
-		return false
+	switch {
+	case len(r.attempts) >= g.cfg.MaxAttempts:
+		return AttemptsSpent
+	case left <= 0:
+		return NoTime
+	case r.out > 0 && !g.cfg.SecondCopies:
+		return CopyOut
 	}
 	b := g.pick(r)
 	if b == nil {
-		return false
+		return NoBackend
 	}
 	// The ceiling counts what comes to a backend. A connection that failed may have taken so long that the
 	// part has filled again: the attempt that comes first draws at its own time.
 	if !slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.unsent }) {
 		if len(r.attempts) > 0 && !g.ceilingHolds(r.cust, r.Units) {
-			return false
+			return Ceiling
 		}
 		r.cust.ceiling -= r.Units
 	}
@@ -47,7 +52,7 @@
 		wait := hedgeAims * g.cfg.Classes[r.Class].Aim.Seconds()
 		g.act.After(seconds(wait), uint64(r.ID)<<8|uint64(len(r.attempts)&0xff))
 	}
-	return true
+	return None
 }
 
 // Timer takes a timer that is due: the wait for an attempt.
@@ -64,7 +69,7 @@
 		return
 	}
 	if g.cfg.SecondCopies {
-		if g.send(r) {
+		if g.send(r) == None {
 			g.bank--
 		}
 	} else if g.silent(last.to) {
@@ -172,17 +177,29 @@
 	if last == ConnectFailed {
 		price = 0 // it cost no backend any work, so it cannot feed an overload
 	}
-	if last != Moot && g.bank >= price && g.send(r) {
+	cl := &g.cfg.Classes[r.Class]
+	var against Reason
+	switch {
+	case last == Moot:
+		against = Abandoned
+	case g.bank < price:
+		against = RetryBudget
+	default:
+		against = g.send(r)
+		if against == NoBackend && cl.Effect == SingleShot && r.first() != nil {
+			against = NotRepeatable
+		}
+	}
+	if against == None {
 		g.bank -= price
 		return
 	}
 	r.over = true
-	cl := &g.cfg.Classes[r.Class]
 	harmless := r.first() == nil || cl.Effect == Free || cl.Effect == Guarded && cl.Group == GroupAll
 	if harmless && g.now < r.deadline {
-		g.act.Refuse(r.ID, g.advice)
+		g.act.Refuse(r.ID, g.advice, against)
 	} else {
-		g.act.Fail(r.ID)
+		g.act.Fail(r.ID, against)
 	}
 }
 
--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -36,9 +36,9 @@
 // lastSend remembers the last attempt sent.
 type lastSend struct{ id, backend uint32 }
 
-func (l *lastSend) Send(id, backend uint32, _ time.Duration) { l.id, l.backend = id, backend }
-func (l *lastSend) Refuse(uint32, time.Duration)             {}
-func (l *lastSend) Fail(uint32)                              {}
-func (l *lastSend) Cancel(uint32, int)                       {}
-func (l *lastSend) Probe(uint32)                             {}
-func (l *lastSend) After(time.Duration, uint64)              {}
+func (l *lastSend) Send(id, backend uint32, _ time.Duration)    { l.id, l.backend = id, backend }
+func (l *lastSend) Refuse(uint32, time.Duration, choice.Reason) {}
+func (l *lastSend) Fail(uint32, choice.Reason)                  {}
+func (l *lastSend) Cancel(uint32, int)                          {}
+func (l *lastSend) Probe(uint32)                                {}
+func (l *lastSend) After(time.Duration, uint64)                 {}
--- a/choice/ceiling_test.go
+++ b/choice/ceiling_test.go
@@ -60,11 +60,11 @@
 	f.due = append(f.due, ceilingAnswer{f.now + time.Duration(50+f.rng.IntN(200))*ms, g, g.life,
 		choice.Outcome{ID: id, Backend: backend, Status: choice.OK, Over: true, Elapsed: 100 * ms}})
 }
-func (g *ceilingGate) Refuse(uint32, time.Duration) {}
-func (g *ceilingGate) Fail(uint32)                  {}
-func (g *ceilingGate) Cancel(uint32, int)           {}
-func (g *ceilingGate) Probe(uint32)                 {}
-func (g *ceilingGate) After(time.Duration, uint64)  {}
+func (g *ceilingGate) Refuse(uint32, time.Duration, choice.Reason) {}
+func (g *ceilingGate) Fail(uint32, choice.Reason)                  {}
+func (g *ceilingGate) Cancel(uint32, int)                          {}
+func (g *ceilingGate) Probe(uint32)                                {}
+func (g *ceilingGate) After(time.Duration, uint64)                 {}
 
 func (g *ceilingGate) start(t *testing.T) {
 	t.Helper()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -35,13 +35,13 @@
 	r.note("send %d to %d within %v", id, backend, timeout)
 	r.sent[id] = append(r.sent[id], backend)
 }
-func (r *recorder) Refuse(id uint32, after time.Duration) {
+func (r *recorder) Refuse(id uint32, after time.Duration, _ choice.Reason) {
 	r.note("refuse %d for %v", id, after)
 	r.refused[id] = true
 }
-func (r *recorder) Fail(id uint32)                { r.note("fail %d", id); r.failed[id] = true }
-func (r *recorder) Cancel(id uint32, attempt int) { r.note("cancel %d/%d", id, attempt) }
-func (r *recorder) Probe(b uint32)                { r.note("probe %d", b); r.probed = append(r.probed, b) }
+func (r *recorder) Fail(id uint32, _ choice.Reason) { r.note("fail %d", id); r.failed[id] = true }
+func (r *recorder) Cancel(id uint32, attempt int)   { r.note("cancel %d/%d", id, attempt) }
+func (r *recorder) Probe(b uint32)                  { r.note("probe %d", b); r.probed = append(r.probed, b) }
 func (r *recorder) After(wait time.Duration, token uint64) {
 	r.note("after %v token %d", wait, token)
 }
--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -42,11 +42,11 @@
 	f.due = append(f.due, coldAnswer{f.now + f.latency(), f.now, g,
 		choice.Outcome{ID: id, Backend: backend, Status: choice.OK, Over: true, Elapsed: f.latency()}})
 }
-func (g *coldGate) Refuse(uint32, time.Duration) {}
-func (g *coldGate) Fail(uint32)                  {}
-func (g *coldGate) Cancel(uint32, int)           {}
-func (g *coldGate) Probe(uint32)                 {}
-func (g *coldGate) After(time.Duration, uint64)  {}
+func (g *coldGate) Refuse(uint32, time.Duration, choice.Reason) {}
+func (g *coldGate) Fail(uint32, choice.Reason)                  {}
+func (g *coldGate) Cancel(uint32, int)                          {}
+func (g *coldGate) Probe(uint32)                                {}
+func (g *coldGate) After(time.Duration, uint64)                 {}
 
 // Backends start anew while the whole fleet has got slow, so that each gateway
 // finds them the cheapest. All gateways together keep to the budget of each,
--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -14,11 +14,13 @@
 func (printer) Send(id, backend uint32, timeout time.Duration) {
 	fmt.Printf("request %d: send to backend %d, give up after %v\n", id, backend, timeout)
 }
-func (printer) Refuse(id uint32, after time.Duration) { fmt.Printf("request %d: refused\n", id) }
-func (printer) Fail(id uint32)                        { fmt.Printf("request %d: failed\n", id) }
-func (printer) Cancel(id uint32, attempt int)         {}
-func (printer) Probe(backend uint32)                  {}
-func (printer) After(time.Duration, uint64)           {}
+func (printer) Refuse(id uint32, after time.Duration, _ choice.Reason) {
+	fmt.Printf("request %d: refused\n", id)
+}
+func (printer) Fail(id uint32, _ choice.Reason) { fmt.Printf("request %d: failed\n", id) }
+func (printer) Cancel(id uint32, attempt int)   {}
+func (printer) Probe(backend uint32)            {}
+func (printer) After(time.Duration, uint64)     {}
 
 func Example() {
 	cfg := choice.Config{
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -322,8 +322,8 @@
 	}
 	w.out = append(w.out, pending{p.gate, id, len(r.sent) - 1, backend, w.k.now, due})
 }
-func (p port) Refuse(id uint32, _ time.Duration) { p.w.k.refuse(id) }
-func (p port) Fail(id uint32) {
+func (p port) Refuse(id uint32, _ time.Duration, _ choice.Reason) { p.w.k.refuse(id) }
+func (p port) Fail(id uint32, _ choice.Reason) {
 	if r := p.w.k.reqs[id]; r != nil {
 		r.ended = true
 	}
--- a/cmd/cedarseam/main.go
+++ b/cmd/cedarseam/main.go
@@ -10,18 +10,32 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"cedarseam/internal/eventlog"
 	"cedarseam/internal/ingress"
 )
 
+const (
+	// logVariable names the environment's word on the log: with "detailed" it
+	// tells of every request, attempt and connection from the start on.
+	logVariable = "CEDARSEAM_LOG"
+	logFlush    = 100 * time.Millisecond // for the last lines to be written at the end
+)
+
 func main() {
-	if err := run(); err != nil {
+	lines := eventlog.NewWriter(os.Stderr)
+	log := eventlog.New(lines, os.Getenv(logVariable) == "detailed")
+	slog.SetDefault(log.Logger())
+	err := run(log)
+	lines.Flush(logFlush)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "cedarseam:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(log *eventlog.Log) error {
 	// Taken from the first moment on: by default SIGHUP ends the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -30,6 +44,7 @@
 		return err
 	}
 	cfg.Limits.Apply()
+	cfg.Log = log
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	srv, err := ingress.Listen(cfg)
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -32,8 +32,10 @@
 func (n *instance) Send(id, backend uint32, timeout time.Duration) {
 	n.reply.Send(n.num, id, backend, timeout)
 }
-func (n *instance) Refuse(id uint32, after time.Duration)  { n.reply.Refuse(n.num, id, after) }
-func (n *instance) Fail(id uint32)                         { n.reply.Fail(n.num, id) }
+func (n *instance) Refuse(id uint32, after time.Duration, _ choice.Reason) {
+	n.reply.Refuse(n.num, id, after)
+}
+func (n *instance) Fail(id uint32, _ choice.Reason)        { n.reply.Fail(n.num, id) }
 func (n *instance) Cancel(id uint32, attempt int)          { n.reply.Cancel(n.num, id, attempt) }
 func (n *instance) Probe(backend uint32)                   { n.reply.Probe(n.num, backend) }
 func (n *instance) After(wait time.Duration, token uint64) { n.reply.After(n.num, wait, token) }
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,86 @@
+package eventlog
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestStatesAreAlwaysWrittenAndRequestsOnlyInDetail(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out, false)
+	all := func() {
+		log.State("serving")
+		log.Opened(1)
+		log.Taken(Taken{Request: 0xab, Client: 1, Left: time.Second})
+		log.Sent(Sent{Request: 0xab, Backend: "s-1", Kind: "first"})
+		log.Ended(Ended{Request: 0xab, Backend: "s-1", Status: "reset"})
+		log.Answered(Answered{Request: 0xab, End: "refused", Reason: "quota", After: 200 * time.Millisecond})
+		log.Closed(Closed{Client: 1, Reason: "left"})
+		log.BackendClosed("s-1", "idle")
+	}
+	all()
+	if got := strings.Count(out.String(), "\n"); got != 1 || !strings.Contains(out.String(), "state=serving") {
+		t.Errorf("without detail it writes %q", out.String())
+	}
+	out.Reset()
+	log.Detail()
+	all()
+	if got := strings.Count(out.String(), "\n"); got != 8 {
+		t.Errorf("in detail it writes %d lines, want 8:\n%s", got, out.String())
+	}
+	if got := strings.Count(out.String(), "request=00000000000000ab"); got != 4 {
+		t.Errorf("the request is named %d times, want 4:\n%s", got, out.String())
+	}
+	if !strings.Contains(out.String(), "end=refused reason=quota advice_ms=200") {
+		t.Errorf("the refusal lacks its reason:\n%s", out.String())
+	}
+}
+
+func TestNilLogWritesNothing(t *testing.T) {
+	var log *Log
+	log.Detail()
+	log.State("serving")
+	log.Opened(1)
+	if log.Detailed() {
+		t.Error("a nil Log is detailed")
+	}
+}
+
+// stuckReader is the other end of a log that nobody reads, until it is let go.
+type stuckReader struct {
+	begun, free chan struct{}
+	written     bytes.Buffer
+}
+
+func (s *stuckReader) Write(line []byte) (int, error) {
+	select {
+	case s.begun <- struct{}{}:
+	default:
+	}
+	<-s.free
+	return s.written.Write(line)
+}
+
+// A log that nobody reads holds nobody up; what it can't hold is counted.
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &stuckReader{begun: make(chan struct{}, 1), free: make(chan struct{})}
+	w := NewWriter(out)
+	fmt.Fprintln(w, "first")
+	<-out.begun
+	for range linesHeld + 3 { // three too many
+		fmt.Fprintln(w, "more")
+	}
+	w.Flush(time.Millisecond) // in vain, and not for long
+	close(out.free)
+	w.Flush(time.Minute)
+	text := out.written.String()
+	if got := strings.Count(text, "more\n"); got != linesHeld {
+		t.Errorf("%d lines come through, want %d", got, linesHeld)
+	}
+	if !strings.Contains(text, "count=3") {
+		t.Error("the dropped lines are not counted")
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -89,7 +89,7 @@
 // more connections may end it, or say so, before the first byte is written.
 func (a *attempt) carry(c *conn) {
 	if !c.send(a) {
-		c.close()
+		c.close("it ended before the first byte")
 		a.end(reply{status: a.unsent()}, nil)
 		return
 	}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +13,8 @@
 
 	"github.com/tidwall/redcon"
 	"golang.org/x/sys/unix"
+
+	"cedarseam/internal/eventlog"
 )
 
 const (
@@ -32,6 +36,9 @@
 	errWrong    = errors.New("too many wrong commands")
 	errNoMemory = errors.New("no memory is left for the command")
 	errEnds     = errors.New("the connection takes no further command")
+	errEvicted  = fmt.Errorf("%w: it was idle and makes room", errEnds)
+	errDrained  = fmt.Errorf("%w: the ingress stops, and it is between requests", errEnds)
+	errHalted   = fmt.Errorf("%w: the ingress stops, and it has sent a command", errEnds)
 	errLeft     = errors.New("the client is gone")
 )
 
@@ -50,6 +57,7 @@
 // knows that nobody has taken it, and sends it elsewhere.
 type client struct {
 	server  *Server
+	number  uint64 // in the log
 	nc      net.Conn
 	opened  time.Time
 	wake    chan struct{} // the writer has something to do
@@ -59,6 +67,7 @@
 
 	mu      sync.Mutex
 	pending []*slot
+	taken   int // whole commands so far
 	used    time.Time
 	writing bool // the writer runs, or has run
 	asked   bool // has sent a request that could be taken
@@ -70,11 +79,12 @@
 	halted  bool // takes no further command if it has sent one
 	closing bool // takes no further command, and ends when all is answered
 	gone    bool
+	failed  error // of the last write
 }
 
 func newClient(s *Server, nc net.Conn) *client {
 	now := time.Now()
-	return &client{server: s, nc: nc, opened: now, used: now, wake: make(chan struct{}, 1),
+	return &client{server: s, number: s.lastClient.Add(1), nc: nc, opened: now, used: now, wake: make(chan struct{}, 1),
 		space: make(chan struct{}, 1), written: make(chan struct{})}
 }
 
@@ -161,6 +171,7 @@
 func (c *client) push(s *slot) {
 	c.mu.Lock()
 	c.pending = append(c.pending, s)
+	c.taken++
 	c.asked, c.heard = c.asked || s.request != nil, true
 	c.startWriter()
 	stays := c.evicted
@@ -187,12 +198,15 @@
 
 // read takes commands until the client leaves, or sends what can't be read.
 func (c *client) read() {
-	if err := c.take(); !errors.Is(err, errLeft) {
+	c.server.cfg.Log.Opened(c.number)
+	err := c.take()
+	if !errors.Is(err, errLeft) {
 		if !errors.Is(err, errEnds) {
 			c.refuse(err)
 		}
 		c.finish()
 	}
+	c.logClose(err)
 	c.nc.Close()
 	c.mu.Lock()
 	c.gone = true
@@ -202,6 +216,19 @@
 	c.server.remove(c)
 }
 
+// logClose writes why the connection ends, before it does.
+func (c *client) logClose(reason error) {
+	log := c.server.cfg.Log
+	if !log.Detailed() {
+		return
+	}
+	c.mu.Lock()
+	taken, failed := c.taken, c.failed
+	c.mu.Unlock()
+	log.Closed(eventlog.Closed{Client: c.number, Reason: cmp.Or(failed, reason).Error(), Age: time.Since(c.opened),
+		Commands: taken, Unread: waiting(c.nc)})
+}
+
 // finish lets the writer send the answers still due: a connection that closes
 // under them loses requests. It returns sooner if the client leaves.
 func (c *client) finish() {
@@ -293,8 +320,8 @@
 		if err != nil {
 			return err
 		}
-		if c.ends(&in, held) {
-			return errEnds
+		if err := c.ends(&in, held); err != nil {
+			return err
 		}
 		if len(in.buf) == cap(in.buf) {
 			if !c.stand(&in) {
@@ -308,7 +335,7 @@
 		case n > 0:
 			in.buf, in.at = in.buf[:len(in.buf)+n], now
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return errLeft
+			return fmt.Errorf("%w: %w", errLeft, err)
 		case in.rest.IsZero() || now.Before(in.rest):
 		case len(in.buf) > 0:
 			return errHalf
@@ -318,19 +345,21 @@
 	}
 }
 
-// ends tells whether the connection is over for the reader, and otherwise how
+// ends tells why the connection is over for the reader, and otherwise sets how
 // long it may wait for more. held tells that no command may be started now.
-func (c *client) ends(in *input, held bool) bool {
+func (c *client) ends(in *input, held bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := len(c.pending) == 0 && !c.sending
 	switch {
 	case held:
 	case idle && c.evicted:
-		return true
+		return errEvicted
 	case !c.heard || len(in.buf) > 0: // what a new connection is opened for is still to come
-	case c.halted, idle && c.drained:
-		return true
+	case c.halted:
+		return errHalted
+	case idle && c.drained:
+		return errDrained
 	}
 	until := in.rest
 	switch {
@@ -341,7 +370,7 @@
 		until = longAgo
 	}
 	c.nc.SetReadDeadline(until)
-	return false
+	return nil
 }
 
 // stand waits with a full buffer, until a command may be started again. It
@@ -526,7 +555,7 @@
 			_, err := c.nc.Write(out)
 			c.server.loop.memory.give(len(out))
 			c.mu.Lock()
-			c.sending, c.gone = false, c.gone || err != nil
+			c.sending, c.gone, c.failed = false, c.gone || err != nil, err
 			if (c.drained || c.evicted) && len(c.pending) == 0 && !c.closing {
 				c.nudge() // the connection may be between requests
 			}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cedarseam/choice"
 	"cedarseam/internal/membership"
 )
 
@@ -330,7 +331,7 @@
 	c.evict()
 	r.server.leaving++
 	r.server.mu.Unlock()
-	if _, err := c.commands(&in); err != nil || c.ends(&in, false) {
+	if _, err := c.commands(&in); err != nil || c.ends(&in, false) != nil {
 		t.Errorf("the connection ends, %v", err)
 	}
 	if got := unread(t, b.far, len("+PONG\r\n")); got != "+PONG\r\n" {
@@ -436,7 +437,7 @@
 
 	c.pending = full
 	held, err := c.commands(&in)
-	if !held || err != nil || c.ends(&in, held) {
+	if !held || err != nil || c.ends(&in, held) != nil {
 		t.Fatalf("with all places taken, held is %v, %v", held, err)
 	}
 	fmt.Fprint(b.far, "x")
@@ -451,7 +452,7 @@
 	c.pending, c.full = nil, false
 	c.nudge()
 	c.mu.Unlock()
-	if c.ends(&in, held) {
+	if c.ends(&in, held) != nil {
 		t.Fatal("the connection ends")
 	}
 	looked := make(chan error, 1)
@@ -659,8 +660,8 @@
 	c.write(encode("Q.ASK", anyone, newID(), lookup) + encode("Q.ASK", anyone, newID(), lookup))
 	one, two := wait(t, "a request", b.got), wait(t, "another", b.got)
 	r.ask(func(l *loop) { // the second waits for the first, so both answers find it unwritten
-		l.Fail(2)
-		l.Refuse(2, 0)
+		l.Fail(2, choice.None)
+		l.Refuse(2, 0, choice.None)
 	})
 	one.answer("v")
 	two.answer("v")
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cedarseam/choice"
+	"cedarseam/internal/eventlog"
 	"cedarseam/internal/jsontext"
 	"cedarseam/internal/membership"
 	"cedarseam/internal/wire"
@@ -77,6 +78,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     membership.List
+	Log       *eventlog.Log // nil writes nothing
 	Choice    choice.Config
 
 	classes        map[string]int
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"container/list"
 	"errors"
 	"net"
@@ -79,20 +80,36 @@
 // quiet tells that nothing waits to be read. The reader of an idle connection
 // may not have seen yet what came a moment ago, an end or a second copy of the
 // last answer; written to such a connection, a payment would be lost.
-func (c *conn) quiet() bool {
-	sys, ok := c.nc.(syscall.Conn)
+func (c *conn) quiet() bool { return !readable(c.nc) }
+
+// waiting tells whether bytes wait to be read.
+func waiting(nc net.Conn) bool {
+	n, err := peek(nc)
+	return n > 0 && err == nil
+}
+
+// readable tells whether a read would return at once: bytes wait, or the
+// connection has ended or failed.
+func readable(nc net.Conn) bool {
+	_, err := peek(nc)
+	return !errors.Is(err, syscall.EAGAIN)
+}
+
+// peek looks at the next byte without taking it, and does not wait for it.
+func peek(nc net.Conn) (n int, err error) {
+	sys, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
 	var peeked error
 	err = raw.Control(func(fd uintptr) {
-		_, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, peeked = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+	return n, cmp.Or(err, peeked)
 }
 
 // stall limits the wait for the rest of an answer that has begun.
@@ -121,7 +138,7 @@
 		c.dead = a == nil // closed, idle for too long, or speaking out of turn
 		c.mu.Unlock()
 		if a == nil {
-			c.close()
+			c.close(idleEnd(n, err))
 			c.pool.closed(c)
 			return
 		}
@@ -137,7 +154,7 @@
 					a.end(answer, c)
 					continue
 				}
-				c.close()
+				c.close("its answer was not the last that came, or it was given up")
 				a.end(answer, nil)
 				return
 			}
@@ -172,12 +189,23 @@
 			status = choice.Error
 		}
 		// Closed before the outcome is told: a second attempt must not overlap.
-		c.close()
+		c.close(status.String())
 		a.end(reply{status: status}, nil)
 		return
 	}
 }
 
+// idleEnd tells why a connection ends on which no attempt is out.
+func idleEnd(n int, err error) string {
+	switch {
+	case n > 0:
+		return "it spoke out of turn"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "idle for too long, or not to be kept"
+	}
+	return err.Error()
+}
+
 // broken tells what the end of its connection makes of an attempt that was
 // written whole. OK means that it goes on: the deadline of the idle connection
 // passed just before.
@@ -217,7 +245,9 @@
 	return true
 }
 
-func (c *conn) close() {
+// close ends the connection. The reason is for the log.
+func (c *conn) close(reason string) {
+	c.pool.cfg.Log.BackendClosed(c.to.name, reason)
 	c.nc.Close()
 	c.pool.open.Add(-1)
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -9,6 +9,7 @@
 	"github.com/tidwall/redcon"
 
 	"cedarseam/choice"
+	"cedarseam/internal/eventlog"
 	"cedarseam/internal/membership"
 )
 
@@ -118,12 +119,15 @@
 	if !l.ids.add(r.name, now) {
 		// The copy of another's open request: its value belongs to that one alone.
 		r.from.wrong.Add(1)
+		l.over(r, "failed", "the id is in use", 0)
 		l.answer(r, redcon.AppendError(nil, "ERR the request id is in use"))
 		l.forget(r)
 		return
 	}
+	left := time.Until(r.deadline)
+	l.cfg.Log.Taken(eventlog.Taken{Request: r.name, Client: r.from.number, Class: r.class, Customer: r.customer, Left: left})
 	l.gateway.Request(now, choice.Request{
-		ID: r.id, Class: r.class, Plan: r.plan, Customer: r.customer, TimeLeft: time.Until(r.deadline),
+		ID: r.id, Class: r.class, Plan: r.plan, Customer: r.customer, TimeLeft: left,
 		Units: r.units, Spread: r.spread, First: r.first, Repeat: r.repeat,
 	})
 	l.forget(r)
@@ -166,6 +170,7 @@
 func (l *loop) gone(c *client) {
 	for _, r := range c.abandoned() {
 		if !r.over {
+			l.over(r, "gone", "the client has left", 0)
 			l.end(r)
 			if len(r.attempts) == 0 {
 				l.ids.remove(r.name) // nothing was sent on: it may come again
@@ -192,7 +197,12 @@
 	}
 	r := a.request
 	r.out--
+	if l.cfg.Log.Detailed() {
+		l.cfg.Log.Ended(eventlog.Ended{Request: r.name, Attempt: a.number, Backend: a.to.name,
+			Status: answer.status.String(), Elapsed: elapsed, Kept: c != nil && !a.fresh})
+	}
 	if answer.status == choice.OK {
+		l.over(r, "served", a.to.name, 0)
 		l.answer(r, answer.value)
 	}
 	l.gateway.Outcome(l.now(), choice.Outcome{
@@ -202,6 +212,13 @@
 	l.forget(r)
 }
 
+// over writes that a request has its final answer, if it had none.
+func (l *loop) over(r *request, end, reason string, after time.Duration) {
+	if r != nil && !r.over && l.cfg.Log.Detailed() {
+		l.cfg.Log.Answered(eventlog.Answered{Request: r.name, End: end, Reason: reason, After: after, Attempts: len(r.attempts)})
+	}
+}
+
 // answer gives a request its one final answer.
 func (l *loop) answer(r *request, data []byte) {
 	if r == nil || r.over {
@@ -304,19 +321,35 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	l.pool.start(a, backend)
+	if l.cfg.Log.Detailed() {
+		l.cfg.Log.Sent(eventlog.Sent{Request: r.name, Attempt: a.number, Backend: a.to.name, Kind: r.kind(), Timeout: timeout})
+	}
+}
+
+// kind names the attempt that was started last, for the log.
+func (r *request) kind() string {
+	switch {
+	case len(r.attempts) == 1:
+		return "first"
+	case r.out > 1:
+		return "hedge"
+	}
+	return "retry"
 }
 
 // Refuse answers that trying again does no harm.
-func (l *loop) Refuse(id uint32, after time.Duration) {
+func (l *loop) Refuse(id uint32, after time.Duration, reason choice.Reason) {
 	line := "BUSY"
 	if ms := after.Milliseconds(); ms > 0 {
 		line = fmt.Sprintf("BUSY %d", ms)
 	}
+	l.over(l.requests[id], "refused", reason.String(), after)
 	l.answer(l.requests[id], redcon.AppendError(nil, line))
 }
 
 // Fail answers without a promise.
-func (l *loop) Fail(id uint32) {
+func (l *loop) Fail(id uint32, reason choice.Reason) {
+	l.over(l.requests[id], "failed", reason.String(), 0)
 	l.answer(l.requests[id], redcon.AppendError(nil, "ERR failed"))
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +30,8 @@
 
 	moves chan string // addresses of discovery to move to
 
+	lastClient atomic.Uint64 // the number of the newest connection
+
 	mu       sync.Mutex
 	clients  map[*client]struct{}
 	leaving  int           // clients that were closed to make room and are not gone yet
@@ -90,9 +94,13 @@
 	for _, c := range s.cfg.Choice.Classes {
 		longest = max(longest, c.Deadline)
 	}
+	s.cfg.Log.Detail() // what becomes of each request now is what matters
+	s.logState("draining")
 	s.drain(false)
 	s.late()
+	s.logState("closing the listener")
 	s.closeListener(failed)
+	s.logState("taking no further command on used connections")
 	s.drain(true)
 	s.mu.Lock()
 	s.stopping = true
@@ -102,9 +110,18 @@
 	case <-s.empty:
 	case <-time.After(longest + writeTimeout + lingerTime): // by then nothing is owed to anybody who reads
 	}
+	s.logState("ended")
 	return nil
 }
 
+// logState writes a step of the stop, and how many clients there are.
+func (s *Server) logState(state string) {
+	s.mu.Lock()
+	clients := len(s.clients)
+	s.mu.Unlock()
+	s.cfg.Log.State(state, slog.Int("clients", clients))
+}
+
 // closeListener closes the listener once nobody waits in its queue: a
 // connection there has been accepted by the machine, and what its client has
 // written counts as taken. It returns when all of them are served.
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -241,10 +241,10 @@
 func (l *lastSend) Send(id, backend uint32, _ time.Duration) { l.id, l.backend = id, backend }
 
 // Refuse does nothing.
-func (l *lastSend) Refuse(uint32, time.Duration) {}
+func (l *lastSend) Refuse(uint32, time.Duration, choice.Reason) {}
 
 // Fail does nothing.
-func (l *lastSend) Fail(uint32) {}
+func (l *lastSend) Fail(uint32, choice.Reason) {}
 
 // Cancel does nothing.
 func (l *lastSend) Cancel(uint32, int) {}
