Answer all that is read while the process stops before it may be killed

Cause: a request kept its client's deadline although the process may be killed sooner (SIGKILL comes the longest deadline, 3 s at most, and 0.7 s after SIGTERM). Ruled out: the process held up, the signal unnoticed, answers lost on the way, connections accepted for too long.

The change: package shutdown divides the time until the kill into phases, counted from the signal. Gateway.Stop bounds the time of every request, open or to come, and so that of every attempt, retry and hedge and the time told to backends; at its end all that is open gets its final answer. A request of which less than its aim is left is refused at once. Readers end with the phase of reading: a connection that has not spoken is closed, half a command is refused with advice, and what was read and held back (no place, a pause behind wrong commands) is still started and answered. Whoever does not take his answers is closed before the kill.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -19,11 +19,16 @@
 		return
 	}
 	if in.TimeLeft <= 0 {
-		g.act.Refuse(in.ID, 0, NoTime)
+		g.act.Refuse(in.ID, g.advice, NoTime)
+		return
+	}
+	r := &request{Request: in, deadline: now + in.TimeLeft}
+	if g.cut(r); g.tooLate(r) {
+		g.act.Refuse(in.ID, g.advice, Stopping)
 		return
 	}
 	c := g.customer(in)
-	r := &request{Request: in, cust: c, deadline: now + in.TimeLeft}
+	r.cust = c
 	if reason := g.admit(c, r); reason != None {
 		g.act.Refuse(r.ID, g.advice, reason)
 		return
--- a/choice/api.go
+++ b/choice/api.go
@@ -56,6 +56,14 @@
 	CrossZoneCost  float64 // price of an attempt that leaves the zone, as a part of a request's worth
 }
 
+// Advice is when a client that is refused should come back; 0: it is told no time.
+func (cfg *Config) Advice() time.Duration {
+	if !cfg.RetryAfter {
+		return 0
+	}
+	return cfg.MaxRetryAfter / adviceParts
+}
+
 // check names the first field that cannot be served.
 func (cfg *Config) check() error {
 	switch {
@@ -242,10 +250,11 @@
 	RetryBudget          // too few further attempts have been earned
 	NotRepeatable        // an attempt may have run, and the class must not run twice
 	Abandoned            // the attempt was called off before it was written
+	Stopping             // the process ends before its client would give it up
 )
 
 var reasonNames = [...]string{"none", "invalid", "no-time", "quota", "ceiling", "open-cap", "pressure",
-	"no-backend", "attempts-spent", "copy-out", "retry-budget", "not-repeatable", "abandoned"}
+	"no-backend", "attempts-spent", "copy-out", "retry-budget", "not-repeatable", "abandoned", "stopping"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -55,9 +55,13 @@
 	return None
 }
 
-// Timer takes a timer that is due: the wait for an attempt.
+// Timer takes a timer that is due: the wait for an attempt, or for the end of the process.
 func (g *Gateway) Timer(now time.Duration, token uint64) {
 	g.step(now)
+	if token == stopToken {
+		g.answerAll()
+		return
+	}
 	r := g.requests[uint32(token>>8)]
 	if r == nil || r.over || len(r.attempts) != int(token&0xff) || r.attempts[len(r.attempts)-1].ended {
 		return
@@ -194,9 +198,15 @@
 		g.bank -= price
 		return
 	}
+	g.conclude(r, against)
+}
+
+// conclude gives r its final answer: a refusal where another try does no harm and its client still waits.
+func (g *Gateway) conclude(r *request, against Reason) {
 	r.over = true
+	cl := &g.cfg.Classes[r.Class]
 	harmless := r.first() == nil || cl.Effect == Free || cl.Effect == Guarded && cl.Group == GroupAll
-	if harmless && g.now < r.deadline {
+	if harmless && (g.now < r.deadline || r.cut) {
 		g.act.Refuse(r.ID, g.advice, against)
 	} else {
 		g.act.Fail(r.ID, against)
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,8 @@
 	ejected   int         // of the fleet, now
 	classes   []classSeen
 	advice    time.Duration   // given with a refusal
+	stopping  bool            // the process ends
+	answerBy  time.Duration   // and by then each request has its final answer
 	bank      float64         // further attempts that may be made
 	zones     map[int]float64 // share of failures by zone: a lost zone shows sooner than each of its backends
 	nextStep  time.Duration
@@ -126,6 +128,7 @@
 	attempts []attempt
 	out      int
 	over     bool
+	cut      bool // its client would wait beyond the end of the process
 }
 
 type attempt struct {
@@ -160,7 +163,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		cfg: cfg, act: act, rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
+		cfg: cfg, act: act, advice: cfg.Advice(), rng: rand.New(rand.NewPCG(seed, uint64(cfg.Self))),
 		now: now, born: now, forgot: now,
 		slot:      max(cfg.MeterPeriod, 100*time.Millisecond) / slotsPeriod,
 		customers: map[account]*customer{}, requests: map[uint32]*request{}, backends: map[uint32]*backend{},
@@ -175,9 +178,6 @@
 		g.longest = max(g.longest, c.Aim)
 		g.classes[i] = classSeen{mean: c.Aim.Seconds() / 4}
 	}
-	if cfg.RetryAfter {
-		g.advice = cfg.MaxRetryAfter / adviceParts
-	}
 	return g, nil
 }
 
--- a/cmd/cedarseam/main.go
+++ b/cmd/cedarseam/main.go
@@ -14,6 +14,7 @@
 
 	"cedarseam/internal/eventlog"
 	"cedarseam/internal/ingress"
+	"cedarseam/internal/shutdown"
 )
 
 const (
@@ -37,16 +38,18 @@
 
 func run(log *eventlog.Log) error {
 	// Taken from the first moment on: by default SIGHUP ends the process.
+	ctx := untilTerminated()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := ingress.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
+	if ctx.Err() != nil {
+		return nil // no client was let in
+	}
 	cfg.Limits.Apply()
 	cfg.Log = log
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	srv, err := ingress.Listen(cfg)
 	if err != nil {
 		return err
@@ -64,3 +67,16 @@
 	}()
 	return srv.Serve(ctx)
 }
+
+// untilTerminated returns a context that ends with SIGTERM or SIGINT. Its cause
+// tells when the signal came: the time until the kill counts from then.
+func untilTerminated() context.Context {
+	terminate := make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		<-terminate
+		cancel(shutdown.Requested{At: time.Now()})
+	}()
+	return ctx
+}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -39,6 +39,8 @@
 	errEvicted  = fmt.Errorf("%w: it was idle and makes room", errEnds)
 	errDrained  = fmt.Errorf("%w: the ingress stops, and it is between requests", errEnds)
 	errHalted   = fmt.Errorf("%w: the ingress stops, and it has sent a command", errEnds)
+	errFinal    = fmt.Errorf("%w: the process ends", errEnds)
+	errCut      = errors.New("the process ends before the command is whole")
 	errLeft     = errors.New("the client is gone")
 )
 
@@ -77,6 +79,7 @@
 	evicted bool // to be closed to make room, if it is still idle
 	drained bool // closes between requests
 	halted  bool // takes no further command if it has sent one
+	final   bool // reads nothing more
 	closing bool // takes no further command, and ends when all is answered
 	gone    bool
 	failed  error // of the last write
@@ -142,6 +145,22 @@
 	c.nudge()
 }
 
+// stopReading ends the connection once all that was read is started and answered.
+func (c *client) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.final = true
+	c.nudge()
+}
+
+// closeNow closes the connection, whatever is due.
+func (c *client) closeNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = fmt.Errorf("the process ends with %d answers not taken", len(c.pending))
+	c.nc.Close()
+}
+
 // startWriter starts the writer with the first that it has to do: most
 // connections of bad clients never give it anything.
 func (c *client) startWriter() {
@@ -200,10 +219,15 @@
 func (c *client) read() {
 	c.server.cfg.Log.Opened(c.number)
 	err := c.take()
-	if !errors.Is(err, errLeft) {
-		if !errors.Is(err, errEnds) {
-			c.refuse(err)
-		}
+	switch {
+	case errors.Is(err, errLeft):
+	case errors.Is(err, errCut):
+		c.reply(c.server.busy())
+		c.finish()
+	case errors.Is(err, errEnds):
+		c.finish()
+	default:
+		c.refuse(err)
 		c.finish()
 	}
 	c.logClose(err)
@@ -355,6 +379,10 @@
 	case held:
 	case idle && c.evicted:
 		return errEvicted
+	case c.final && len(in.buf) > 0:
+		return errCut
+	case c.final:
+		return errFinal
 	case !c.heard || len(in.buf) > 0: // what a new connection is opened for is still to come
 	case c.halted:
 		return errHalted
@@ -460,7 +488,7 @@
 	defer c.mu.Unlock()
 	c.full = len(c.pending) >= mostPending
 	in.full = c.full
-	return c.full || !in.hold.IsZero() && time.Now().Before(in.hold), c.gone
+	return c.full || !c.final && !in.hold.IsZero() && time.Now().Before(in.hold), c.gone
 }
 
 // known tells whether the client has sent a whole command.
@@ -487,7 +515,7 @@
 	memory := c.server.loop.memory
 	if !memory.take(size) {
 		// Nothing has run; holding more would end the whole process.
-		c.reply(redcon.AppendError(nil, "BUSY"))
+		c.reply(c.server.busy())
 		return nil
 	}
 	cmd.args = own(args, size)
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -300,7 +300,7 @@
 	r.someClient("the commands to be taken", func(c *client) bool { return len(c.pending) == 3 })
 	first.answer("v")
 	c.want("$1\r\nv")
-	c.want("-BUSY")
+	c.want(refusal)
 	c.want("+PONG")
 	r.eventually("the memory to be free", func(l *loop) bool { return l.memory.used.Load() == 0 })
 	c.send("Q.DO", anyone, newID(), payment, body)
@@ -392,7 +392,7 @@
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 20, false }, b.member("b"))
 	const places = 11 // of 20 descriptors
-	r.server.late = func() {}
+	r.stopNow()
 	var clients []*fakeClient
 	for range places + 5 { // the last ones find no room
 		c := r.dial()
@@ -565,7 +565,7 @@
 
 // halt stops the ingress, and waits until it takes no further client.
 func (r *rig) halt() {
-	r.server.late = func() {}
+	r.stopNow()
 	r.stop()
 	for addr := r.server.Addr().String(); ; {
 		nc, err := net.Dial("tcp", addr)
@@ -584,8 +584,7 @@
 	quiet.want("+PONG")
 	busy.send("Q.DO", anyone, newID(), payment, "BODY")
 	got := wait(t, "the request", b.got)
-	over := make(chan struct{})
-	r.server.late = func() { <-over }
+	over := r.holdPhases()
 	r.stop()
 	quiet.wantEnd()
 	late := r.dial() // clients still come for a while
@@ -594,7 +593,7 @@
 	second.answer("late")
 	late.want("$4\r\nlate")
 	late.wantEnd()
-	close(over)
+	close(over[accepting])
 	for addr := r.server.Addr().String(); ; { // until no further client is taken
 		nc, err := net.Dial("tcp", addr)
 		if err != nil {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -339,12 +339,17 @@
 
 // Refuse answers that trying again does no harm.
 func (l *loop) Refuse(id uint32, after time.Duration, reason choice.Reason) {
+	l.over(l.requests[id], "refused", reason.String(), after)
+	l.answer(l.requests[id], busy(after))
+}
+
+// busy is the answer that trying again does no harm, with the advice when.
+func busy(after time.Duration) []byte {
 	line := "BUSY"
 	if ms := after.Milliseconds(); ms > 0 {
 		line = fmt.Sprintf("BUSY %d", ms)
 	}
-	l.over(l.requests[id], "refused", reason.String(), after)
-	l.answer(l.requests[id], redcon.AppendError(nil, line))
+	return redcon.AppendError(nil, line)
 }
 
 // Fail answers without a promise.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,29 +4,28 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cedarseam/internal/shutdown"
 )
 
 const (
-	acceptAfterStop = 450 * time.Millisecond // clients connect for a while after SIGTERM
-	lastCall        = 50 * time.Millisecond  // nobody has come for so long: nobody waits in the listener's queue
-	lastCallMost    = 500 * time.Millisecond // the longest that is waited for this
-	acceptRetry     = 5 * time.Millisecond
-	spareShare      = 16                     // of the places for clients, so many are kept free
-	idleLeast       = 2 * time.Second        // a connection that has asked may be closed when idle for so long
-	silentLeast     = 250 * time.Millisecond // and one that has not when it is so old
+	acceptRetry = 5 * time.Millisecond
+	spareShare  = 16                     // of the places for clients, so many are kept free
+	idleLeast   = 2 * time.Second        // a connection that has asked may be closed when idle for so long
+	silentLeast = 250 * time.Millisecond // and one that has not when it is so old
 )
 
 // Server is one running ingress.
 type Server struct {
 	*core
-	ln   *net.TCPListener
-	late func() // waits while clients still come after the stop
+	ln    *net.TCPListener
+	plan  func(begun time.Time, longestDeadline time.Duration) shutdown.Schedule
+	endOf func(phase, shutdown.Schedule) <-chan time.Time // waits for the end of a phase of the stop
 
 	moves chan string // addresses of discovery to move to
 
@@ -37,6 +36,7 @@
 	leaving  int           // clients that were closed to make room and are not gone yet
 	draining bool          // connections close between requests
 	ending   bool          // the listener closes as soon as nobody waits in its queue
+	final    bool          // nothing more is read
 	stopping bool          // no further connection is taken
 	empty    chan struct{} // closed when stopping and no client is left
 }
@@ -52,7 +52,7 @@
 		return nil, fmt.Errorf("clients: %w", err)
 	}
 	return &Server{core: core, ln: ln.(*net.TCPListener), clients: map[*client]struct{}{}, empty: make(chan struct{}),
-		late: func() { time.Sleep(acceptAfterStop) }, moves: make(chan string)}, nil
+		plan: shutdown.NewSchedule, endOf: endOf, moves: make(chan string)}, nil
 }
 
 // Reload takes what may change while the ingress runs: the address of
@@ -67,9 +67,9 @@
 // Addr is the address on which clients are served.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
-// Serve runs the ingress until ctx ends. It then goes on accepting for the
-// time in which clients still come, answers all that it has taken, closes each
-// connection between requests, and returns.
+// Serve runs the ingress until ctx ends. It then shuts down and returns, before
+// the process may be killed: see package shutdown. A cause of ctx tells when the
+// end was asked for.
 func (s *Server) Serve(ctx context.Context) error {
 	defer s.start()()
 	go func() {
@@ -89,75 +89,16 @@
 		return err
 	case <-ctx.Done():
 	}
-
-	longest := time.Duration(0)
-	for _, c := range s.cfg.Choice.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	s.cfg.Log.Detail() // what becomes of each request now is what matters
-	s.logState("draining")
-	s.drain(false)
-	s.late()
-	s.logState("closing the listener")
-	s.closeListener(failed)
-	s.logState("taking no further command on used connections")
-	s.drain(true)
-	s.mu.Lock()
-	s.stopping = true
-	s.checkEmpty()
-	s.mu.Unlock()
-	select {
-	case <-s.empty:
-	case <-time.After(longest + writeTimeout + lingerTime): // by then nothing is owed to anybody who reads
-	}
-	s.logState("ended")
+	s.shutDown(s.plan(shutdown.RequestedAt(ctx), s.longestDeadline()), failed)
 	return nil
 }
 
-// logState writes a step of the stop, and how many clients there are.
-func (s *Server) logState(state string) {
-	s.mu.Lock()
-	clients := len(s.clients)
-	s.mu.Unlock()
-	s.cfg.Log.State(state, slog.Int("clients", clients))
-}
-
-// closeListener closes the listener once nobody waits in its queue: a
-// connection there has been accepted by the machine, and what its client has
-// written counts as taken. It returns when all of them are served.
-func (s *Server) closeListener(accepted <-chan error) {
-	s.mu.Lock()
-	s.ending = true
-	s.ln.SetDeadline(time.Now().Add(lastCall))
-	s.mu.Unlock()
-	select {
-	case <-accepted:
-		s.ln.Close()
-	case <-time.After(lastCallMost):
-		s.ln.Close()
-		<-accepted
-	}
-}
-
-// drain makes each connection close as soon as it has nothing open. With halt
-// set, those that have sent a command take no further one.
-func (s *Server) drain(halt bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-	for c := range s.clients {
-		c.drain(halt)
-	}
-}
-
-func (s *Server) checkEmpty() {
-	if s.stopping && len(s.clients) == 0 {
-		select {
-		case <-s.empty:
-		default:
-			close(s.empty)
-		}
+// longestDeadline is the longest that a request of the settings may take.
+func (s *Server) longestDeadline() (longest time.Duration) {
+	for _, c := range s.cfg.Choice.Classes {
+		longest = max(longest, c.Deadline)
 	}
+	return longest
 }
 
 func (s *Server) accept() error {
@@ -209,12 +150,15 @@
 	return len(s.clients) < most
 }
 
+// busy is the answer to what is refused before it reaches the gateway.
+func (s *Server) busy() []byte { return busy(s.cfg.Choice.Advice()) }
+
 // add serves a new connection.
 func (s *Server) add(nc net.Conn) {
 	c := newClient(s, nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.drained = s.draining // closes after its first answer
+	c.drained, c.final = s.draining, s.final // closes after its first answer
 	s.clients[c] = struct{}{}
 	go c.read()
 }
--- /dev/null
+++ b/internal/ingress/shutdown_test.go
@@ -0,0 +1,227 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cedarseam/internal/shutdown"
+)
+
+// farAway is later than the end of any test.
+const farAway = time.Hour
+
+// holdPhases makes each phase of the stop last until its channel is closed, and
+// the answers wait for as long as their clients do.
+func (r *rig) holdPhases() (ends [closing + 1]chan time.Time) {
+	for p := range ends {
+		ends[p] = make(chan time.Time)
+	}
+	r.server.plan = func(begun time.Time, _ time.Duration) shutdown.Schedule {
+		end := begun.Add(farAway)
+		return shutdown.Schedule{Begun: begun, AcceptUntil: end, AnswerBy: end, ReadUntil: end, CloseBy: end, Kill: end}
+	}
+	r.server.endOf = func(p phase, _ shutdown.Schedule) <-chan time.Time { return ends[p] }
+	return ends
+}
+
+// stopNow makes the listener close as soon as the stop begins, and all else wait.
+func (r *rig) stopNow() {
+	close(r.holdPhases()[accepting])
+}
+
+// clientsAre waits until a condition holds of every connection of a client.
+func (r *rig) clientsAre(what string, ok func(*client) bool) {
+	r.Helper()
+	r.eventually(what, func(*loop) bool {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		for c := range r.server.clients {
+			c.mu.Lock()
+			holds := ok(c)
+			c.mu.Unlock()
+			if !holds {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// stopCase is the state of one client when the process is told to end, and what
+// it is owed. Its backend never gives a whole answer.
+type stopCase struct {
+	before  func(*fakeClient) // before the process is told to end
+	halted  func(*fakeClient) // once the listener is closed
+	due     func(*fakeClient) // once the time for answers is over
+	want    []string          // all that the client gets before the connection ends
+	forward int               // requests that come to the backend
+}
+
+const (
+	refusal = "-BUSY 200"
+	failure = "-ERR failed"
+)
+
+func half(c *fakeClient) { c.write(encode("Q.ASK", anyone, newID(), lookup)[:40]) }
+
+func pingFirst(c *fakeClient) {
+	c.send("PING")
+	c.want("+PONG")
+}
+
+func ask(c *fakeClient) { c.send("Q.ASK", anyone, newID(), lookup) }
+func pay(c *fakeClient) { c.send("Q.DO", anyone, newID(), payment, "BODY") }
+func brief(c *fakeClient) {
+	c.send("Q.ASK", anyone, newID(), strings.Replace(lookup, "20000", "150", 1))
+}
+
+// hears waits for an answer.
+func hears(line string) func(*fakeClient) {
+	return func(c *fakeClient) { c.want(line) }
+}
+
+func both(steps ...func(*fakeClient)) func(*fakeClient) {
+	return func(c *fakeClient) {
+		for _, step := range steps {
+			step(c)
+		}
+	}
+}
+
+var stopCases = map[string]stopCase{
+	"a new connection says nothing":              {},
+	"a used connection says nothing":             {before: pingFirst},
+	"half a command on a new connection":         {before: half, want: []string{refusal}},
+	"half a command on a used connection":        {before: both(pingFirst, half), want: []string{refusal}},
+	"half a command after the listener's end":    {halted: half, want: []string{refusal}},
+	"a request waits that may be repeated":       {before: ask, want: []string{refusal}, forward: 1},
+	"a request waits that must not run twice":    {before: pay, want: []string{failure}, forward: 1},
+	"a request whose time is over":               {before: both(brief, hears(failure)), forward: 1},
+	"a request and half a command behind it":     {before: both(pay, half), want: []string{failure, refusal}, forward: 1},
+	"a first request after the listener's end":   {halted: ask, want: []string{refusal}, forward: 1},
+	"a first payment after the listener's end":   {halted: pay, want: []string{failure}, forward: 1},
+	"a first request after the time for answers": {due: pay, want: []string{refusal}},
+	"wrong commands before a request": {
+		before: func(c *fakeClient) { c.write(encode("GET") + encode("GET") + encode("GET") + encode("PING")) },
+		want:   []string{"-ERR unknown command", "-ERR unknown command", "-ERR unknown command", "+PONG"}},
+}
+
+// What is read after the process is told to end is answered before it may be
+// killed, and every connection is closed: whatever the state of the client, and
+// however the backend fails to answer.
+func TestEverythingReadIsAnsweredBeforeTheEnd(t *testing.T) {
+	for backend, begin := range map[string]func(received){
+		"silent":          func(received) {},
+		"amid an answer":  func(got received) { io.WriteString(got.nc, "*3\r\n$5\r\nva") },
+		"not connecting":  nil,
+		"gone in silence": func(got received) { got.nc.(*net.TCPConn).CloseRead() },
+	} {
+		for name, state := range stopCases {
+			t.Run(backend+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				checkStop(t, state, begin)
+			})
+		}
+	}
+}
+
+func checkStop(t *testing.T, state stopCase, begin func(received)) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing, cfg.Choice.MaxAttempts = false, 1 }, b.member("b"))
+	if begin == nil {
+		r.ask(func(l *loop) {
+			l.pool.dialer.ControlContext = func(ctx context.Context, _, _ string, _ syscall.RawConn) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		})
+	}
+	got := make(chan struct{}, 10)
+	go func() {
+		for request := range b.got {
+			begin(request)
+			got <- struct{}{}
+		}
+	}()
+	defer close(b.got)
+	forwarded := 0
+	c := r.dial()
+	step := func(do func(*fakeClient)) {
+		if do == nil {
+			return
+		}
+		do(c)
+		r.eventually("the command to be read", func(*loop) bool { return !r.unreadOf(c) })
+		for ; begin != nil && forwarded < state.forward; forwarded++ {
+			wait(t, "the request at the backend", got)
+		}
+		if begin == nil && state.forward > 0 {
+			r.eventually("the request to be taken", func(l *loop) bool { return l.lastID > 0 })
+		}
+	}
+	r.someClient("the connection to be accepted", func(*client) bool { return true })
+	phases := r.holdPhases()
+	step(state.before)
+	r.stop()
+	r.clientsAre("the stop to have begun", func(c *client) bool { return c.drained })
+	close(phases[accepting])
+	r.eventually("the listener to be closed", func(*loop) bool {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		return r.server.stopping
+	})
+	step(state.halted)
+	r.ask(func(l *loop) { l.gateway.Stop(l.now(), l.now()) }) // the time for answers is over
+	step(state.due)
+	r.eventually("all requests to be answered", func(l *loop) bool {
+		for _, open := range l.requests {
+			if !open.over {
+				return false
+			}
+		}
+		return true
+	})
+	close(phases[reading])
+	c.wantAll(state.want...)
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+	if begin == nil {
+		idle(t, "a request at the backend", got)
+	}
+}
+
+// unreadOf tells whether bytes of a client wait on its connection.
+func (r *rig) unreadOf(c *fakeClient) bool {
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+	for other := range r.server.clients {
+		if other.nc.RemoteAddr().String() == c.nc.LocalAddr().String() {
+			return waiting(other.nc)
+		}
+	}
+	return false
+}
+
+// wantAll waits for these lines, and then the end of the connection.
+func (c *fakeClient) wantAll(lines ...string) {
+	c.t.Helper()
+	all, err := io.ReadAll(c.in)
+	if err != nil {
+		c.t.Errorf("the connection ends with %v", err)
+	}
+	var want bytes.Buffer
+	for _, line := range lines {
+		fmt.Fprintf(&want, "%s\r\n", line)
+	}
+	if string(all) != want.String() {
+		c.t.Errorf("the client gets %q, want %q", all, want.String())
+	}
+}
--- /dev/null
+++ b/internal/shutdown/schedule.go
@@ -0,0 +1,86 @@
+// Package shutdown plans the stop of a process that is told to end and killed
+// some time later.
+//
+// The obligation: what the process reads after it was told to end is answered,
+// and every connection is closed, before it may be killed. A Schedule divides the
+// time until then; whatever takes work on or spends time while the process stops
+// is bounded by one of its times.
+package shutdown
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// The kill that follows SIGTERM, as the platform promises it.
+const (
+	// killGrace is how long after the longest deadline of a request the kill comes
+	// at the soonest.
+	killGrace = 700 * time.Millisecond
+	// longestCounted is as how much a longer deadline counts.
+	longestCounted = 3 * time.Second
+	// acceptFor is how long clients still connect after SIGTERM: 0.4 s, and the
+	// slack of 50 ms that time limits have on sockets.
+	acceptFor = 450 * time.Millisecond
+)
+
+// What is kept free before the kill.
+const (
+	// holdUp is how long the process may be held up between reading its clock and
+	// writing.
+	holdUp = 150 * time.Millisecond
+	// delivery is how late the signal may be noticed, and how long the last bytes
+	// of an answer may be on their way.
+	delivery = 50 * time.Millisecond
+	// lastRead is left between the last answers that are waited for and the last
+	// read: what is read in it is answered at once.
+	lastRead = 100 * time.Millisecond
+	// lastClose is left between the last read and the end, for the other side to
+	// take the last answers.
+	lastClose = 100 * time.Millisecond
+)
+
+// Schedule is when each phase of a stop ends at the latest. Begun comes first;
+// AnswerBy, ReadUntil, CloseBy and Kill follow in this order. AcceptUntil lies
+// before CloseBy, and after AnswerBy where deadlines are short.
+type Schedule struct {
+	Begun       time.Time // the process was told to end
+	AcceptUntil time.Time // clients still connect
+	AnswerBy    time.Time // every request has its final answer; one read later is answered at once
+	ReadUntil   time.Time // nothing is read from then on
+	CloseBy     time.Time // every connection is closed, and the process ends
+	Kill        time.Time // the process may be killed
+}
+
+// NewSchedule plans a stop that was asked for at a time, for a process whose
+// requests have the given deadline at most.
+func NewSchedule(begun time.Time, longestDeadline time.Duration) Schedule {
+	kill := begun.Add(max(0, min(longestDeadline, longestCounted)) + killGrace)
+	closeBy := kill.Add(-holdUp - delivery)
+	readUntil := closeBy.Add(-lastClose)
+	return Schedule{
+		Begun:       begun,
+		AcceptUntil: begun.Add(acceptFor),
+		AnswerBy:    readUntil.Add(-lastRead),
+		ReadUntil:   readUntil,
+		CloseBy:     closeBy,
+		Kill:        kill,
+	}
+}
+
+// Requested is the cause of a context that ended because the process was told to
+// end.
+type Requested struct{ At time.Time }
+
+func (r Requested) Error() string { return "the process was told to end" }
+
+// RequestedAt returns when the end of a context was asked for: the time of its
+// cause if that is a Requested, and now otherwise.
+func RequestedAt(ctx context.Context) time.Time {
+	var cause Requested
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause.At
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/internal/shutdown/schedule_test.go
@@ -0,0 +1,60 @@
+package shutdown
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// Whatever the deadlines are, the phases come in order, and a process that is
+// held up at the end of one has ended before the kill.
+func TestPhasesComeInOrderBeforeTheKill(t *testing.T) {
+	begun := time.Now()
+	for longest, kill := range map[time.Duration]time.Duration{
+		-time.Second: 700 * time.Millisecond, 0: 700 * time.Millisecond,
+		100 * time.Millisecond: 800 * time.Millisecond, 2 * time.Second: 2700 * time.Millisecond,
+		3 * time.Second: 3700 * time.Millisecond, 15 * time.Second: 3700 * time.Millisecond,
+	} {
+		s := NewSchedule(begun, longest)
+		if got := s.Kill.Sub(begun); got != kill {
+			t.Errorf("deadline %v: killed after %v, want %v", longest, got, kill)
+		}
+		phases := []time.Time{s.Begun, s.AnswerBy, s.ReadUntil, s.CloseBy, s.Kill}
+		for i := 1; i < len(phases); i++ {
+			if !phases[i].After(phases[i-1]) {
+				t.Errorf("deadline %v: phase %d ends %v after the one before", longest, i, phases[i].Sub(phases[i-1]))
+			}
+		}
+		if !s.AcceptUntil.Before(s.CloseBy) {
+			t.Errorf("deadline %v: clients are accepted until %v, all is closed at %v", longest, s.AcceptUntil, s.CloseBy)
+		}
+		if left := s.Kill.Sub(s.CloseBy); left < holdUp {
+			t.Errorf("deadline %v: %v are left at the end, a process is held up for %v", longest, left, holdUp)
+		}
+	}
+}
+
+// A request that comes with the signal keeps all its time, up to the deadline
+// that counts.
+func TestRequestsThatComeWithTheSignalKeepTheirTime(t *testing.T) {
+	begun := time.Now()
+	for _, longest := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		if s := NewSchedule(begun, longest); s.AnswerBy.Before(begun.Add(longest)) {
+			t.Errorf("deadline %v: answered by %v", longest, s.AnswerBy.Sub(begun))
+		}
+	}
+}
+
+func TestStopCountsFromTheSignal(t *testing.T) {
+	at := time.Now().Add(-time.Minute)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(Requested{At: at})
+	if got := RequestedAt(ctx); !got.Equal(at) {
+		t.Errorf("asked for %v after the signal", got.Sub(at))
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	if before := time.Now().Add(-time.Minute); RequestedAt(ctx).Before(before) {
+		t.Error("without a cause it does not count from now")
+	}
+}
