--- a/cmd/cedarseam/process_test.go
+++ b/cmd/cedarseam/process_test.go
@@ -35,7 +35,8 @@
 	configure(t, path, configuration)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	p := &program{T: t, command: exec.CommandContext(ctx, os.Args[0]), ended: make(chan struct{}), more: make(chan struct{})}
-	p.command.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path)
+	// The race detector would hold the end of the process up for a second.
+	p.command.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
 	log, err := p.command.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
