Count a held command's time from its own last byte

Found on the way through all places that take work on: a command that is read and held back (128 are open on its connection, or wrong ones came before it) took the time of the last read on its connection as its own, so that whatever came behind it lengthened its deadline, and the time told to backends with it, by as long as it was held. Lines at fault: client.take set one time for the whole input.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -326,7 +326,7 @@
 // input is what the reader has read and not started yet.
 type input struct {
 	buf  []byte
-	at   time.Time // when the last of it came
+	came arrivals  // when its bytes did
 	rest time.Time // by when what has begun has to be whole; zero: nothing has
 	hold time.Time // no command is started before
 	full bool      // none is started until the writer has made a place
@@ -357,7 +357,8 @@
 		now := time.Now()
 		switch {
 		case n > 0:
-			in.buf, in.at = in.buf[:len(in.buf)+n], now
+			in.buf = in.buf[:len(in.buf)+n]
+			in.came.add(n, now)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return fmt.Errorf("%w: %w", errLeft, err)
 		case in.rest.IsZero() || now.Before(in.rest):
@@ -452,10 +453,11 @@
 			break
 		}
 		buf = buf[n:]
+		at := in.came.take(n)
 		if len(args) == 0 { // an empty array asks for nothing
 			continue
 		}
-		wrong := c.command(args, n, in.at)
+		wrong := c.command(args, n, at)
 		if wrong == nil {
 			continue
 		}
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -320,13 +320,20 @@
 	return string(buf[:n])
 }
 
+// readInput is what a reader has read and not started yet.
+func readInput(text string) input {
+	in := input{buf: []byte(text)}
+	in.came.add(len(text), time.Now())
+	return in
+}
+
 // A command that has been read just as its connection is to make room for
 // another has been taken: the client would not send it again.
 func TestCommandReadBeforeAnEvictionIsAnswered(t *testing.T) {
 	r := newRig(t, nil, newBackend(t).member("b"))
 	b := newBench(t)
 	c := newClient(r.server, b.nc)
-	in := input{buf: []byte(encode("PING")), at: time.Now()} // what the reader has read
+	in := readInput(encode("PING"))
 	r.server.mu.Lock()
 	c.evict()
 	r.server.leaving++
@@ -433,7 +440,8 @@
 	c := newClient(r.server, b.nc)
 	c.heard = true
 	full := make([]*slot, mostPending)
-	in := input{buf: []byte(encode("PING")), at: time.Now(), hold: time.Now().Add(-time.Hour)}
+	in := readInput(encode("PING"))
+	in.hold = time.Now().Add(-time.Hour)
 
 	c.pending = full
 	held, err := c.commands(&in)
@@ -695,3 +703,38 @@
 		t.Error("no error on an address that is taken")
 	}
 }
+
+// A command that is held back, for want of a place, has no more time than its
+// client, though more comes behind it meanwhile: the time that is told to the
+// backend counts from its own last byte.
+func TestHeldCommandCountsFromItsLastByte(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	c.heard = true
+	c.pending = make([]*slot, mostPending)
+	const waits, held = 20 * time.Second, 5 * time.Second
+	in := input{}
+	now := time.Now()
+	for _, at := range []time.Time{now.Add(-held), now} {
+		text := encode("Q.DO", anyone, newID(), payment, "BODY")
+		in.buf = append(in.buf, text...)
+		in.came.add(len(text), at)
+		if h, err := c.commands(&in); !h || err != nil {
+			t.Fatalf("with all places taken, held is %v, %v", h, err)
+		}
+	}
+	c.mu.Lock()
+	c.pending = nil
+	c.mu.Unlock()
+	if _, err := c.commands(&in); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, want := range []time.Duration{waits - held, waits} {
+		if left := c.pending[i].request.deadline.Sub(now); left > want || left < want-answerMargin {
+			t.Errorf("request %d has %v left, want %v less the margin", i, left, want)
+		}
+	}
+}
