Keep a connection from eviction on which a command has begun

Found by crossing eviction with a client that has sent part of a command: the reader ended a connection that was idle so far though the start of a command had come. The test fails without the mend and passes 20 times with -race.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -378,7 +378,7 @@
 	idle := len(c.pending) == 0 && !c.sending
 	switch {
 	case held:
-	case idle && c.evicted:
+	case idle && c.evicted && len(in.buf) == 0: // a command that has begun is use
 		return errEvicted
 	case c.final && len(in.buf) > 0:
 		return errCut
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -358,6 +358,33 @@
 	}
 }
 
+// A connection on which a command has begun is in use, also if that came just as
+// it is to make room for another: the rest of the command is waited for.
+func TestHalfACommandKeepsItsConnectionFromEviction(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	whole := encode("PING")
+	in := readInput(whole[:5])
+	r.server.mu.Lock()
+	c.evict()
+	r.server.leaving++
+	r.server.mu.Unlock()
+	if held, err := c.commands(&in); err != nil || c.ends(&in, held) != nil {
+		t.Fatalf("the connection ends, %v", err)
+	}
+	rest := readInput(whole)
+	if held, err := c.commands(&rest); err != nil || c.ends(&rest, held) != nil {
+		t.Fatalf("the connection ends behind the command, %v", err)
+	}
+	unread(t, b.far, len("+PONG\r\n"))
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+	if r.server.leaving != 0 {
+		t.Error("the connection still counts as leaving")
+	}
+}
+
 // A command that crosses the end of its connection is not read: the client
 // then sends it elsewhere. Neither does it cost the answer before it.
 func TestCommandThatCrossesTheEndStaysUnread(t *testing.T) {
