Let the last answers arrive before a connection that is crossed is reset

Found by crossing the end of a connection with a client that has not taken its answer: after 200 ms the connection was closed, and where bytes had crossed the end unread, that reset threw away what the client's machine had not taken. client.linger now waits until it has, for 5 s at most and, in a shutdown, until all is closed; it also ends at once when the client has left behind such bytes. And a connection accepted after the last read, with its first command here already, has that command answered: short deadlines let the listener outlive the last read.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -20,6 +20,7 @@
 const (
 	writeTimeout  = 5 * time.Second         // a client that does not read its answers
 	lingerTime    = 200 * time.Millisecond  // for the last answers to arrive before the connection closes
+	lastLook      = 50 * time.Millisecond   // for what has come to be read: the reader may be held up meanwhile
 	mostPending   = 128                     // open requests on one connection
 	firstPatience = 2200 * time.Millisecond // for the first command on a connection
 	halfPatience  = 2 * time.Second         // for the rest of one that has begun
@@ -265,15 +266,29 @@
 		return
 	}
 	notify(c.wake)
-	if left := c.watch(); left || c.leaves(c.written) {
+	if left := c.watch(); left || leaves(c, c.written) {
 		return
 	}
-	// What crosses the end turns it into a reset, which must not overtake the
-	// last answers.
+	c.linger()
+}
+
+// linger waits until the last answers have arrived, or the client has left: what
+// crosses the end turns it into a reset, which must not overtake them, and which
+// throws away what the client's machine has not taken yet.
+func (c *client) linger() {
 	end := time.Now().Add(lingerTime)
 	c.nc.SetReadDeadline(end)
-	if left := c.watch(); !left {
-		time.Sleep(time.Until(end))
+	if left := c.watch(); left || leaves(c, time.After(time.Until(end))) {
+		return
+	}
+	given := make(chan struct{})
+	defer time.AfterFunc(writeTimeout, func() { close(given) }).Stop()
+	for undelivered(c.nc) {
+		select {
+		case <-given:
+			return
+		case <-time.After(leaveCheck):
+		}
 	}
 }
 
@@ -295,7 +310,7 @@
 
 // leaves waits for done, and tells whether the client has left before. What it
 // has sent and nobody reads hides its end, so the connection itself is asked.
-func (c *client) leaves(done <-chan struct{}) bool {
+func leaves[T any](c *client, done <-chan T) bool {
 	check := time.NewTicker(leaveCheck)
 	defer check.Stop()
 	for {
@@ -303,24 +318,60 @@
 		case <-done:
 			return false
 		case <-check.C:
-			if c.left() {
+			if left(c.nc) {
 				return true
 			}
 		}
 	}
 }
 
-// left tells whether the client has closed the connection, read or not.
-func (c *client) left() (left bool) {
-	raw, err := c.nc.(syscall.Conn).SyscallConn()
-	if err != nil {
+// left tells whether the other side has closed the connection, read or not.
+func left(nc net.Conn) bool {
+	info, err := tcpInfo(nc)
+	switch {
+	case errors.Is(err, errUnknown):
+		return false
+	case err != nil:
 		return true
 	}
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		left = err == nil && (info.State == unix.BPF_TCP_CLOSE || info.State == unix.BPF_TCP_CLOSE_WAIT)
-	})
-	return left || err != nil
+	switch info.State {
+	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT,
+		unix.BPF_TCP_CLOSING, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_TIME_WAIT: // and this side before
+		return true
+	}
+	return false
+}
+
+// undelivered tells whether the other side's machine has not taken all that was
+// written yet.
+func undelivered(nc net.Conn) bool {
+	info, err := tcpInfo(nc)
+	if err != nil || info.State == unix.BPF_TCP_CLOSE {
+		return false
+	}
+	return info.Unacked > 0 || info.Notsent_bytes > 0
+}
+
+// errUnknown means that the system does not tell the state of a connection.
+var errUnknown = errors.New("the state of the connection is not known")
+
+// tcpInfo asks the system for the state of a connection. An error other than
+// errUnknown means that it is closed on this side.
+func tcpInfo(nc net.Conn) (info *unix.TCPInfo, err error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var refused error
+	if err := raw.Control(func(fd uintptr) {
+		info, refused = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return nil, err
+	}
+	if refused != nil {
+		return nil, errUnknown
+	}
+	return info, nil
 }
 
 // input is what the reader has read and not started yet.
@@ -380,6 +431,9 @@
 	case held:
 	case idle && c.evicted && len(in.buf) == 0: // a command that has begun is use
 		return errEvicted
+	case c.final && !c.heard && waiting(c.nc): // its first command is here already
+		c.nc.SetReadDeadline(time.Now().Add(lastLook))
+		return nil
 	case c.final && len(in.buf) > 0:
 		return errCut
 	case c.final:
@@ -406,7 +460,7 @@
 // returns false if the client leaves before.
 func (c *client) stand(in *input) bool {
 	if in.full {
-		return !c.leaves(c.space)
+		return !leaves(c, c.space)
 	}
 	time.Sleep(time.Until(in.hold))
 	return true
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -198,6 +198,66 @@
 	}
 }
 
+// An answer that the client's machine has not taken yet is not thrown away by the
+// end of its connection, though bytes cross it that nobody reads: the reset that
+// these cause waits for the answer.
+func TestAnswerThatIsNotTakenOutlastsTheLinger(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	answers, stuck := 0, 0
+	r.eventually("the client's machine to take no more", func(*loop) bool {
+		c.mu.Lock()
+		sending := c.sending || len(c.pending) > 0
+		c.mu.Unlock()
+		info, err := tcpInfo(b.nc)
+		switch {
+		case err != nil:
+			t.Error(err)
+			return true
+		case info.Notsent_bytes > 0:
+			stuck++
+		case !sending:
+			c.reply(make([]byte, maxValue))
+			answers, stuck = answers+1, 0
+		}
+		return !sending && stuck > 10 // not for a moment only
+	})
+	fmt.Fprint(b.far, encode("PING")) // it crosses the end
+	over := make(chan struct{})
+	go func() {
+		c.finish()
+		c.nc.Close()
+		close(over)
+	}()
+	select {
+	case <-over: // the connection is closed under its answer
+	case <-time.After(2 * lingerTime):
+	}
+	got := make([]byte, answers*maxValue)
+	if n, err := io.ReadFull(b.far, got); err != nil {
+		t.Errorf("the client gets %d of %d bytes, %v", n, len(got), err)
+	}
+	wait(t, "the end of the connection", over)
+}
+
+// A connection that clients open late, with its first command written before the
+// reader looks, is answered though nothing more is read.
+func TestFirstCommandThatHasComeIsAnsweredAtTheEnd(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	fmt.Fprint(b.far, encode("PING"))
+	for b.quiet() { // until it has come
+		time.Sleep(time.Millisecond)
+	}
+	c := newClient(r.server, b.nc)
+	c.drained, c.halted, c.final = true, true, true
+	go c.read()
+	if got, err := io.ReadAll(b.far); string(got) != "+PONG\r\n" || err != nil {
+		t.Errorf("the client gets %q, %v", got, err)
+	}
+}
+
 // unreadOf tells whether bytes of a client wait on its connection.
 func (r *rig) unreadOf(c *fakeClient) bool {
 	r.server.mu.Lock()
