--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cedarseam/internal/membership"
 	"cedarseam/internal/shutdown"
 )
 
@@ -285,3 +286,78 @@
 		c.t.Errorf("the client gets %q, want %q", all, want.String())
 	}
 }
+
+// No other ending costs a client that stays anything: what waits is answered by
+// the backend that has it, the rest of a command is taken, and connections at
+// rest serve on.
+func TestOtherEndingsOweNobodyAnything(t *testing.T) {
+	for name, end := range map[string]func(r *rig, has, other *fakeBackend){
+		"a new configuration": func(r *rig, has, other *fakeBackend) {
+			next := newFakeDiscovery(r.T, has.member("1"), other.member("2"))
+			next.agent.Store(true)
+			close(next.gate)
+			cfg := *r.server.cfg
+			cfg.Discovery = next.Listener.Addr().String()
+			r.server.Reload(cfg)
+			wait(r.T, "a watch at the new address", next.watched)
+		},
+		"the end of the watch": func(r *rig, _, _ *fakeBackend) {
+			wait(r.T, "a watch", r.discovery.watched)
+			r.discovery.lines <- "end"
+			wait(r.T, "another watch", r.discovery.watched)
+		},
+		"a drain of the backend": func(r *rig, has, other *fakeBackend) {
+			draining := has.member("1")
+			draining.Phase = membership.PhaseDraining
+			r.tell(membership.List{Revision: 8, Complete: true, Members: []*membership.Member{draining, other.member("2")}})
+		},
+		"the removal of the backend": func(r *rig, _, other *fakeBackend) {
+			r.tell(membership.List{Revision: 8, Complete: true, Members: []*membership.Member{other.member("2")}})
+		},
+		"the eviction of another client": func(r *rig, _, _ *fakeBackend) {
+			idle := r.dial()
+			pingFirst(idle)
+			r.server.mu.Lock()
+			for c := range r.server.clients {
+				if c.nc.RemoteAddr().String() == idle.nc.LocalAddr().String() {
+					c.evict()
+					r.server.leaving++
+				}
+			}
+			r.server.mu.Unlock()
+			idle.wantEnd()
+		},
+		"another client's close": func(r *rig, _, _ *fakeBackend) { r.dial().nc.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			has, other := newBackend(t), newBackend(t)
+			r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, has.member("1"))
+			waiting, halfway, used, fresh := r.dial(), r.dial(), r.dial(), r.dial()
+			pingFirst(used)
+			pay(waiting)
+			got := wait(t, "the request", has.got)
+			command := encode("Q.ASK", anyone, newID(), lookup)
+			halfway.write(command[:40])
+			r.eventually("half the command to be read", func(*loop) bool { return !r.unreadOf(halfway) })
+			r.tell(membership.List{Revision: 7, Complete: true, Members: []*membership.Member{has.member("1"), other.member("2")}})
+			end(r, has, other)
+			got.answer("first")
+			waiting.want("$5\r\nfirst")
+			for _, b := range []*fakeBackend{has, other} {
+				go func() {
+					for got := range b.got {
+						got.answer("v")
+					}
+				}()
+				t.Cleanup(func() { close(b.got) })
+			}
+			halfway.write(command[40:])
+			halfway.want("$1\r\nv")
+			for _, c := range []*fakeClient{used, fresh, waiting} {
+				ask(c)
+				c.want("$1\r\nv")
+			}
+		})
+	}
+}
