Start the program in one way in all its tests, also while it reads its configuration

Three tests started the program each in their own way; process_test.go does it once, the assertions are unchanged. A new test sends SIGTERM while the configuration is read (a pipe): the program ends well and in time. The environment's names in these tests lose the program's former name.

--- a/cmd/cedarseam/descriptors_test.go
+++ b/cmd/cedarseam/descriptors_test.go
@@ -7,9 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -81,42 +78,20 @@
 					}
 				}()
 			}
-			path := filepath.Join(t.TempDir(), "config.json")
-			configure(t, path, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+			configuration := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
  "limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"revision":1,"complete":true,"members":[%s]},
  "settings":{"balancers":1,"bounds":{"try_limit":4,"conn_idle_ms":600000},"discovery":"push","invariants":{"drain_grace_ms":500},
   "request_classes":[{"name":"lookup","aim_ms":60000,"give_up_ms":60000,"effect":"free","worth":2}],
-  "tiers_of_service":[{"name":"basic","quota_rate":1000,"burst":1000,"price":1}]}}`, discovery, sockets, strings.Join(known, ",")))
+  "tiers_of_service":[{"name":"basic","quota_rate":1000,"burst":1000,"price":1}]}}`, discovery, sockets, strings.Join(known, ","))
 			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 			defer cancel()
-			cmd := exec.CommandContext(ctx, os.Args[0])
-			cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path, fmt.Sprint(socketLimit, "=", sockets))
-			log, err := cmd.StderrPipe()
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
-			defer func() { cmd.Process.Kill(); cmd.Wait() }()
-			line, err := bufio.NewReader(log).ReadString('\n')
-			if err != nil || !strings.Contains(line, "address=") {
-				t.Fatalf("the program begins with %q, %v", line, err)
-			}
-			go io.Copy(io.Discard, log)
-			_, addr, _ := strings.Cut(strings.TrimSpace(line), "address=")
+			p := start(t, configuration, fmt.Sprint(socketLimit, "=", sockets))
 
 			// Requests are held by the backends until no more is let out.
-			ready, in := dial(t, addr)
-			for answer := ""; answer != "+PONG\r\n"; {
-				io.WriteString(ready, ping)
-				if answer, err = in.ReadString('\n'); err != nil {
-					t.Fatal(err)
-				}
-			}
+			p.ready()
 			var held []net.Conn
 			for id, more := 1, true; more; id++ {
-				nc, in := dial(t, addr)
+				nc, in := dial(t, p.addr)
 				fmt.Fprintf(nc, request, id)
 				refused := make(chan string, 1)
 				go func() { answer, _ := in.ReadString('\n'); refused <- answer }()
@@ -136,7 +111,7 @@
 				t.Fatalf("only %d requests are let out", len(held))
 			}
 			for range 2 * sockets { // the last of them wait in the listener's queue
-				nc, _ := dial(t, addr)
+				nc, _ := dial(t, p.addr)
 				io.WriteString(nc, ping)
 			}
 
@@ -174,7 +149,7 @@
 				if time.Now().After(end) {
 					t.Fatal("no client is served by the backend that discovery has told")
 				}
-				nc, in := dial(t, addr)
+				nc, in := dial(t, p.addr)
 				fmt.Fprintf(nc, request, id)
 				answer := make(chan string, 1)
 				go func() { text, _ := in.ReadString('\n'); answer <- text }()
--- a/cmd/cedarseam/main.go
+++ b/cmd/cedarseam/main.go
@@ -37,7 +37,7 @@
 }
 
 func run(log *eventlog.Log) error {
-	// Taken from the first moment on: by default SIGHUP ends the process.
+	// Taken from the first moment on: by default these signals end the process.
 	ctx := untilTerminated()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/cmd/cedarseam/main_test.go
+++ b/cmd/cedarseam/main_test.go
@@ -1,18 +1,13 @@
 package main
 
 import (
-	"bufio"
-	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -21,8 +16,8 @@
 // asProgram makes the test's own binary run the program instead, socketLimit
 // with no more descriptors than that.
 const (
-	asProgram   = "WICKARCH_TEST_AS_PROGRAM"
-	socketLimit = "WICKARCH_TEST_SOCKETS"
+	asProgram   = "CEDARSEAM_TEST_AS_PROGRAM"
+	socketLimit = "CEDARSEAM_TEST_SOCKETS"
 )
 
 func TestMain(m *testing.M) {
@@ -71,60 +66,29 @@
 func TestProgramRereadsItsConfigurationAndEndsWithSigterm(t *testing.T) {
 	first, atFirst := agent(t)
 	second, atSecond := agent(t)
-	path := filepath.Join(t.TempDir(), "config.json")
-	configure(t, path, fmt.Sprintf(config, first))
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-	defer cancel()
-	cmd := exec.CommandContext(ctx, os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path)
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	lines := bufio.NewScanner(log)
-	signal := func(s os.Signal) {
-		t.Helper()
-		if err := cmd.Process.Signal(s); err != nil {
-			t.Fatal(err)
-		}
-	}
+	p := start(t, fmt.Sprintf(config, first))
 	wait := func(what string, asked chan struct{}) {
 		t.Helper()
 		select {
 		case <-asked:
-		case <-ctx.Done():
+		case <-time.After(patience):
 			t.Fatalf("waited in vain for %s", what)
 		}
 	}
-	logged := func(text string) {
-		t.Helper()
-		for lines.Scan() {
-			if strings.Contains(lines.Text(), text) {
-				return
-			}
-		}
-		t.Fatalf("the log never says %q", text)
-	}
 	wait("the start", atFirst)
-	configure(t, path, "{")
-	signal(syscall.SIGHUP)
-	logged("the configuration stays as it was")
+	configure(t, p.path, "{")
+	p.signal(syscall.SIGHUP)
+	p.logged("the configuration stays as it was")
 	for range 3 {
-		configure(t, path, fmt.Sprintf(config, second))
-		signal(syscall.SIGHUP)
+		configure(t, p.path, fmt.Sprintf(config, second))
+		p.signal(syscall.SIGHUP)
 		wait("the move", atSecond)
-		configure(t, path, fmt.Sprintf(config, first))
-		signal(syscall.SIGHUP)
+		configure(t, p.path, fmt.Sprintf(config, first))
+		p.signal(syscall.SIGHUP)
 		wait("the move back", atFirst)
 	}
-	go io.Copy(io.Discard, log)
-	signal(syscall.SIGTERM)
-	if err := cmd.Wait(); err != nil {
-		t.Errorf("after SIGTERM: %v", err)
-	}
+	p.signal(syscall.SIGTERM)
+	p.wantEnd()
 }
 
 func TestProgramFailsWithoutConfiguration(t *testing.T) {
--- a/cmd/cedarseam/process_test.go
+++ b/cmd/cedarseam/process_test.go
@@ -19,6 +19,7 @@
 type program struct {
 	*testing.T
 	command *exec.Cmd
+	path    string // of its configuration
 	addr    string // where it serves clients
 	ended   chan struct{}
 	err     error // valid once ended is closed
@@ -28,15 +29,26 @@
 	more  chan struct{} // closed with the next line
 }
 
-// start runs the program with a configuration, until the end of the test.
-func start(t *testing.T, configuration string) *program {
+// start runs the program with a configuration, and variables of the environment
+// besides, until the end of the test, and waits until it listens.
+func start(t *testing.T, configuration string, environment ...string) *program {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	configure(t, path, configuration)
+	p := launch(t, path, environment...)
+	_, p.addr, _ = strings.Cut(p.logged("address="), "address=")
+	return p
+}
+
+// launch runs the program with the configuration in a file, and variables of the
+// environment besides, until the end of the test.
+func launch(t *testing.T, path string, environment ...string) *program {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	p := &program{T: t, command: exec.CommandContext(ctx, os.Args[0]), ended: make(chan struct{}), more: make(chan struct{})}
+	p := &program{T: t, command: exec.CommandContext(ctx, os.Args[0]), path: path, ended: make(chan struct{}), more: make(chan struct{})}
 	// The race detector would hold the end of the process up for a second.
 	p.command.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+path, "GORACE=atexit_sleep_ms=0")
+	p.command.Env = append(p.command.Env, environment...)
 	log, err := p.command.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -52,10 +64,22 @@
 			t.Log(strings.Join(p.lines, "\n"))
 		}
 	})
-	_, p.addr, _ = strings.Cut(p.logged("address="), "address=")
 	return p
 }
 
+// wantEnd waits until the program has ended, and wants that to go well.
+func (p *program) wantEnd() {
+	p.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		p.Fatal("it does not end")
+	}
+	if p.err != nil {
+		p.Errorf("it ends with %v", p.err)
+	}
+}
+
 // follow gathers the log until the program has ended.
 func (p *program) follow(log io.Reader) {
 	for lines := bufio.NewScanner(log); lines.Scan(); {
--- a/cmd/cedarseam/shutdown_test.go
+++ b/cmd/cedarseam/shutdown_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -279,3 +280,24 @@
 }
 
 var takenRequest = regexp.MustCompile(`request taken" request=([0-9a-f]{16})`)
+
+// A signal that comes while the configuration is read is not missed: no client is
+// let in for longer than the kill allows.
+func TestProgramToldToEndWhileItStartsEndsInTime(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := launch(t, path)
+	file, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the program reads it
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGTERM)
+	discovery, _ := server(t)
+	if _, err := io.WriteString(file, shutdownConfiguration(discovery, longestDeadline)); err != nil {
+		t.Fatal(err)
+	}
+	file.Close()
+	p.wantEnd()
+}
