Work out the age of a backend without trusting this machine's clock alone

Line at fault: loop.started. The newest start told so far now bounds the clock's error, and each start is worked out once.

--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -42,6 +42,7 @@
 	lastID   uint32
 	ids      recentIDs
 	memory   *memory
+	dates    startDates
 }
 
 // request is one try of a client, from its last byte to its final answer and
@@ -271,8 +272,12 @@
 		default:
 			b.State = choice.Removed
 		}
-		b.ID = l.pool.member(c.Member, b.State)
-		b.Started, b.Dated = l.started(c.UpSince)
+		record := l.pool.member(c.Member, b.State)
+		if record.dated != c.UpSince { // once for each start: a new time is a new process to the gateway
+			record.started, _ = l.started(c.UpSince)
+			record.dated = c.UpSince
+		}
+		b.ID, b.Started, b.Dated = record.id, record.started, record.dated > 0
 		backends[i] = b
 	}
 	l.gateway.Members(l.now(), choice.Delta, backends)
@@ -299,7 +304,9 @@
 	if unixMillis <= 0 {
 		return 0, false
 	}
-	return time.UnixMilli(unixMillis).Sub(l.start), true
+	now := l.now()
+	byClock := now - time.UnixMilli(unixMillis).Sub(l.start)
+	return now - l.dates.age(byClock), true
 }
 
 // index is the place of a name in a list of the settings; a name that is not
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -46,9 +46,11 @@
 	id      uint32
 	name    string // discovery's id
 	addr    string
-	since   int64       // when it last started, as discovery tells it
-	idle    []*conn     // the most recently used last, and taken last
-	stopped atomic.Bool // nothing new may be sent to it
+	since   int64         // when it last started, as discovery tells it
+	dated   int64         // the date that started was worked out of
+	started time.Duration // on the gateway's clock; of no meaning where dated is 0
+	idle    []*conn       // the most recently used last, and taken last
+	stopped atomic.Bool   // nothing new may be sent to it
 }
 
 // newPool makes an empty pool. The calls come from the goroutines of connections.
@@ -59,8 +61,8 @@
 	}
 }
 
-// member takes what discovery says of one backend and returns the gateway's id for it.
-func (p *pool) member(m *membership.Member, state choice.State) uint32 {
+// member takes what discovery says of one backend and returns its record.
+func (p *pool) member(m *membership.Member, state choice.State) *backend {
 	b := p.byName[m.ID]
 	switch {
 	case b == nil:
@@ -69,7 +71,9 @@
 	case b.addr != m.HostPort && m.HostPort != "":
 		// Attempts under way read the address: it moves to a new record.
 		p.stop(b)
-		b = p.add(b.id, m)
+		moved := p.add(b.id, m)
+		moved.dated, moved.started = b.dated, b.started
+		b = moved
 	case b.since != m.UpSince:
 		// It has started again. What is left of connections to the process
 		// before may stay open and silent for good.
@@ -85,7 +89,7 @@
 		delete(p.byName, m.ID)
 		delete(p.byID, b.id)
 	}
-	return b.id
+	return b
 }
 
 // add makes the record of a backend, to which nothing may be sent yet.
