Open the listener again where the system fails for a moment

Line at fault: ingress.Listen took the first such error for the last, and the process ended, which is a crash. Errors that do not pass, an address in use among them, end it at once as before.

--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(net.ListenConfig{}, cfg.Listen, listenWithin)
 	if err != nil {
 		return nil, fmt.Errorf("clients: %w", err)
 	}
