--- a/cmd/cedarseam/main_test.go
+++ b/cmd/cedarseam/main_test.go
@@ -83,9 +83,11 @@
 		configure(t, p.path, fmt.Sprintf(config, second))
 		p.signal(syscall.SIGHUP)
 		wait("the move", atSecond)
+		p.logged("state=following", second) // until then the address before is in force, and a way back to it changes nothing
 		configure(t, p.path, fmt.Sprintf(config, first))
 		p.signal(syscall.SIGHUP)
 		wait("the move back", atFirst)
+		p.logged("state=following", first)
 	}
 	p.signal(syscall.SIGTERM)
 	p.wantEnd()
--- a/cmd/cedarseam/process_test.go
+++ b/cmd/cedarseam/process_test.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	lines []string
+	seen  int           // lines that logged has looked at
 	more  chan struct{} // closed with the next line
 }
 
@@ -93,17 +94,19 @@
 	close(p.ended)
 }
 
-// logged waits until the log has a line with all these words, and returns it.
+// logged waits until the log has a further line with all these words, and returns
+// it. A line before it counts no more.
 func (p *program) logged(words ...string) string {
 	p.Helper()
 	limit := time.After(patience)
-	for seen := 0; ; {
+	for {
 		p.mu.Lock()
 		lines, more := p.lines, p.more
 		p.mu.Unlock()
-		for ; seen < len(lines); seen++ {
-			if hasAll(lines[seen], words) {
-				return strings.TrimSpace(lines[seen])
+		for p.seen < len(lines) {
+			line := lines[p.seen]
+			if p.seen++; hasAll(line, words) {
+				return strings.TrimSpace(line)
 			}
 		}
 		select {
--- a/cmd/cedarseam/shutdown_test.go
+++ b/cmd/cedarseam/shutdown_test.go
@@ -230,7 +230,6 @@
 		visitors = append(visitors, v)
 		group.Go(func() { v.visit(p.addr, (i+1)<<20, deadline, until) })
 	}
-	p.logged("msg=serving")
 	for seen := 0; seen < 3; { // all are at work
 		seen = 0
 		for _, b := range backends {
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -27,7 +28,9 @@
 	}
 	view := membership.NewView()
 	l.change(view.Apply(cfg.Known, nil))
-	return &core{cfg: &cfg, loop: l, sources: newSources(cfg.pace(), cfg.Limits.list(), view, l.changeInParts)}, nil
+	sources := newSources(cfg.pace(), cfg.Limits.list(), view, l.changeInParts)
+	sources.moved = func(address string) { cfg.Log.State("following", slog.String("discovery", address)) }
+	return &core{cfg: &cfg, loop: l, sources: sources}, nil
 }
 
 // start runs the loop and follows discovery. The function that it returns ends both.
--- a/internal/ingress/sources.go
+++ b/internal/ingress/sources.go
@@ -15,6 +15,7 @@
 	most    int                       // bytes of one list
 	deliver func([]membership.Change) // returns once they are in force
 	applied func(revision int64)      // called once all of a list is in force
+	moved   func(address string)      // called when the list of another address takes the place of the one before
 	ctx     context.Context
 	close   context.CancelFunc
 
@@ -31,7 +32,7 @@
 
 // newSources starts from the view given.
 func newSources(p pace, most int, view *membership.View, deliver func([]membership.Change)) *sources {
-	s := &sources{pace: p, most: most, view: view, deliver: deliver, applied: func(int64) {}}
+	s := &sources{pace: p, most: most, view: view, deliver: deliver, applied: func(int64) {}, moved: func(string) {}}
 	s.ctx, s.close = context.WithCancel(context.Background())
 	return s
 }
@@ -83,6 +84,7 @@
 			s.current.leave()
 		}
 		s.current, s.next = from, nil
+		s.moved(from.address)
 	}
 	if from != s.current {
 		return
