--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -602,13 +602,7 @@
 func (r *rig) halt() {
 	r.stopNow()
 	r.stop()
-	for addr := r.server.Addr().String(); ; {
-		nc, err := net.Dial("tcp", addr)
-		if err != nil {
-			break
-		}
-		nc.Close()
-	}
+	r.untilRefused()
 }
 
 func TestStopAnswersWhatIsOpenAndEndsBetweenRequests(t *testing.T) {
@@ -629,13 +623,7 @@
 	late.want("$4\r\nlate")
 	late.wantEnd()
 	close(over[accepting])
-	for addr := r.server.Addr().String(); ; { // until no further client is taken
-		nc, err := net.Dial("tcp", addr)
-		if err != nil {
-			break
-		}
-		nc.Close()
-	}
+	r.untilRefused()
 	got.answer("v") // it is still waited for
 	busy.want("$1\r\nv")
 	busy.wantEnd()
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -25,7 +25,7 @@
 	*core
 	ln    *net.TCPListener
 	plan  func(begun time.Time, longestDeadline time.Duration) shutdown.Schedule
-	endOf func(phase, shutdown.Schedule) <-chan time.Time // waits for the end of a phase of the stop
+	endOf func(phase, shutdown.Schedule) <-chan struct{} // closed at the end of a phase of the stop
 
 	moves chan string // addresses of discovery to move to
 
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -34,9 +34,11 @@
 	return plan.CloseBy
 }
 
-// endOf waits for the end of a phase.
-func endOf(p phase, plan shutdown.Schedule) <-chan time.Time {
-	return time.After(time.Until(timeOf(p, plan)))
+// endOf returns a channel that is closed at the end of a phase.
+func endOf(p phase, plan shutdown.Schedule) <-chan struct{} {
+	end := make(chan struct{})
+	time.AfterFunc(time.Until(timeOf(p, plan)), func() { close(end) })
+	return end
 }
 
 // shutDown goes on accepting for the time in which clients still come, answers
@@ -65,9 +67,13 @@
 // stopAccepting closes the listener once clients no longer come. From then on
 // connections that were used take no further command.
 func (s *Server) stopAccepting(plan shutdown.Schedule, accepted <-chan error) {
-	<-s.endOf(accepting, plan)
+	lastRead := s.endOf(reading, plan)
+	select {
+	case <-s.endOf(accepting, plan):
+	case <-lastRead:
+	}
 	s.logState("closing the listener")
-	s.closeListener(plan, accepted)
+	s.closeListener(accepted, lastRead)
 	s.logState("taking no further command on used connections")
 	s.drain(true)
 	s.mu.Lock()
@@ -78,20 +84,23 @@
 
 // closeListener closes the listener once nobody waits in its queue: a
 // connection there has been accepted by the machine, and what its client has
-// written counts as taken. It returns when all of them are served.
-func (s *Server) closeListener(plan shutdown.Schedule, accepted <-chan error) {
+// written counts as taken. It returns when all of them are served, and closes the
+// listener in any case with the last read: a connection that is taken later would
+// have its first command read with no time left for the answer.
+func (s *Server) closeListener(accepted <-chan error, lastRead <-chan struct{}) {
 	s.mu.Lock()
 	s.ending = true
 	s.ln.SetDeadline(time.Now().Add(lastCall))
 	s.mu.Unlock()
-	most := min(lastCallMost, time.Until(plan.CloseBy))
 	select {
 	case <-accepted:
 		s.ln.Close()
-	case <-time.After(most):
-		s.ln.Close()
-		<-accepted
+		return
+	case <-lastRead:
+	case <-time.After(lastCallMost):
 	}
+	s.ln.Close()
+	<-accepted
 }
 
 // drain makes each connection close as soon as it has nothing open. With halt
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -20,15 +20,15 @@
 
 // holdPhases makes each phase of the stop last until its channel is closed, and
 // the answers wait for as long as their clients do.
-func (r *rig) holdPhases() (ends [closing + 1]chan time.Time) {
+func (r *rig) holdPhases() (ends [closing + 1]chan struct{}) {
 	for p := range ends {
-		ends[p] = make(chan time.Time)
+		ends[p] = make(chan struct{})
 	}
 	r.server.plan = func(begun time.Time, _ time.Duration) shutdown.Schedule {
 		end := begun.Add(farAway)
 		return shutdown.Schedule{Begun: begun, AcceptUntil: end, AnswerBy: end, ReadUntil: end, CloseBy: end, Kill: end}
 	}
-	r.server.endOf = func(p phase, _ shutdown.Schedule) <-chan time.Time { return ends[p] }
+	r.server.endOf = func(p phase, _ shutdown.Schedule) <-chan struct{} { return ends[p] }
 	return ends
 }
 
@@ -37,6 +37,17 @@
 	close(r.holdPhases()[accepting])
 }
 
+// untilRefused connects until the listener is closed.
+func (r *rig) untilRefused() {
+	for addr := r.server.Addr().String(); ; {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		nc.Close()
+	}
+}
+
 // clientsAre waits until a condition holds of every connection of a client.
 func (r *rig) clientsAre(what string, ok func(*client) bool) {
 	r.Helper()
@@ -199,6 +210,19 @@
 	}
 }
 
+// No connection is taken after the last read, though clients still come: its
+// first command would be read with no time left for the answer.
+func TestNobodyIsAcceptedAfterTheLastRead(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	phases := r.holdPhases()
+	r.stop()
+	close(phases[reading])
+	r.untilRefused()
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // An answer that the client's machine has not taken yet is not thrown away by the
 // end of its connection, though bytes cross it that nobody reads: the reset that
 // these cause waits for the answer.
--- a/internal/shutdown/schedule.go
+++ b/internal/shutdown/schedule.go
@@ -43,12 +43,12 @@
 
 // Schedule is when each phase of a stop ends at the latest. Begun comes first;
 // AnswerBy, ReadUntil, CloseBy and Kill follow in this order. AcceptUntil lies
-// before CloseBy, and after AnswerBy where deadlines are short.
+// before ReadUntil, and after AnswerBy where deadlines are short.
 type Schedule struct {
 	Begun       time.Time // the process was told to end
 	AcceptUntil time.Time // clients still connect
 	AnswerBy    time.Time // every request has its final answer; one read later is answered at once
-	ReadUntil   time.Time // nothing is read from then on
+	ReadUntil   time.Time // nothing is accepted or read from then on
 	CloseBy     time.Time // every connection is closed, and the process ends
 	Kill        time.Time // the process may be killed
 }
@@ -61,7 +61,7 @@
 	readUntil := closeBy.Add(-lastClose)
 	return Schedule{
 		Begun:       begun,
-		AcceptUntil: begun.Add(acceptFor),
+		AcceptUntil: earlier(begun.Add(acceptFor), readUntil),
 		AnswerBy:    readUntil.Add(-lastRead),
 		ReadUntil:   readUntil,
 		CloseBy:     closeBy,
@@ -69,6 +69,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Requested is the cause of a context that ended because the process was told to
 // end.
 type Requested struct{ At time.Time }
--- a/internal/shutdown/schedule_test.go
+++ b/internal/shutdown/schedule_test.go
@@ -25,8 +25,8 @@
 				t.Errorf("deadline %v: phase %d ends %v after the one before", longest, i, phases[i].Sub(phases[i-1]))
 			}
 		}
-		if !s.AcceptUntil.Before(s.CloseBy) {
-			t.Errorf("deadline %v: clients are accepted until %v, all is closed at %v", longest, s.AcceptUntil, s.CloseBy)
+		if s.AcceptUntil.After(s.ReadUntil) {
+			t.Errorf("deadline %v: clients are accepted until %v, and read until %v", longest, s.AcceptUntil, s.ReadUntil)
 		}
 		if left := s.Kill.Sub(s.CloseBy); left < holdUp {
 			t.Errorf("deadline %v: %v are left at the end, a process is held up for %v", longest, left, holdUp)
