--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -39,13 +39,15 @@
 
 // untilRefused connects until the listener is closed.
 func (r *rig) untilRefused() {
-	for addr := r.server.Addr().String(); ; {
-		nc, err := net.Dial("tcp", addr)
+	r.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		nc, err := net.Dial("tcp", r.server.Addr().String())
 		if err != nil {
 			return
 		}
 		nc.Close()
 	}
+	r.Fatal("the listener stays open")
 }
 
 // clientsAre waits until a condition holds of every connection of a client.
