--- a/cmd/cedarseam/shutdown_test.go
+++ b/cmd/cedarseam/shutdown_test.go
@@ -207,12 +207,33 @@
 	for _, deadline := range []time.Duration{300 * time.Millisecond, longestDeadline, 15 * time.Second} {
 		t.Run(deadline.String(), func(t *testing.T) {
 			t.Parallel()
-			checkProgramEnds(t, deadline)
+			checkProgramEnds(t, deadline, func(*program) {})
 		})
 	}
 }
 
-func checkProgramEnds(t *testing.T, deadline time.Duration) {
+// holdUp is how long a process may be held up between reading its clock and writing.
+const holdUp = 150 * time.Millisecond
+
+// The same holds for a program that is held up shortly before the kill: while the
+// last requests are answered, or while the last commands are read.
+func TestProgramThatIsHeldUpEndsBeforeTheKill(t *testing.T) {
+	for _, before := range []time.Duration{430 * time.Millisecond, 350 * time.Millisecond} {
+		t.Run(before.String(), func(t *testing.T) {
+			t.Parallel()
+			checkProgramEnds(t, longestDeadline, func(p *program) {
+				time.AfterFunc(longestDeadline+killAfter-before, func() {
+					p.command.Process.Signal(syscall.SIGSTOP)
+					time.AfterFunc(holdUp, func() { p.command.Process.Signal(syscall.SIGCONT) })
+				})
+			})
+		})
+	}
+}
+
+// checkProgramEnds stops a program amid all kinds of clients. trouble is called
+// with the signal.
+func checkProgramEnds(t *testing.T, deadline time.Duration, trouble func(*program)) {
 	backends := []*partBackend{newPartBackend(t, ""), newPartBackend(t, "*3\r\n$5\r\nva"), newPartBackend(t, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")}
 	discovery, _ := server(t)
 	p := start(t, shutdownConfiguration(discovery, deadline, backends[0].addr, backends[1].addr, backends[2].addr))
@@ -240,6 +261,7 @@
 	}
 	terminated := time.Now()
 	p.signal(syscall.SIGTERM)
+	trouble(p)
 	select {
 	case <-p.ended:
 	case <-time.After(kill):
