Read nothing behind a held command once the last read is over

Found on reading the change again: with 128 commands open on a connection the reader reads on, also after the last read of a shutdown, and what it reads then may be closed on unanswered if the client takes nothing. It now waits for a place without reading. The log's count of a connection is named for what it counts, the answers owed. The test fails without the mend and passes 300 times with -race.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -80,18 +80,18 @@
 
 // Closed is the end of a client's connection.
 type Closed struct {
-	Client   uint64
-	Reason   string
-	Age      time.Duration
-	Commands int  // whole ones that were read
-	Unread   bool // bytes came that were not read
+	Client  uint64
+	Reason  string
+	Age     time.Duration
+	Answers int  // that were owed on it, given or not
+	Unread  bool // bytes came that were not read
 }
 
 // Closed writes the end of a client's connection.
 func (l *Log) Closed(c Closed) {
 	if l.Detailed() {
 		l.detail("client closed", slog.Uint64("client", c.Client), slog.String("reason", c.Reason),
-			milliseconds("age_ms", c.Age), slog.Int("commands", c.Commands), slog.Bool("unread", c.Unread))
+			milliseconds("age_ms", c.Age), slog.Int("answers", c.Answers), slog.Bool("unread", c.Unread))
 	}
 }
 
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -70,7 +70,7 @@
 
 	mu      sync.Mutex
 	pending []*slot
-	taken   int // whole commands so far
+	owed    int // answers so far
 	used    time.Time
 	writing bool // the writer runs, or has run
 	asked   bool // has sent a request that could be taken
@@ -191,7 +191,7 @@
 func (c *client) push(s *slot) {
 	c.mu.Lock()
 	c.pending = append(c.pending, s)
-	c.taken++
+	c.owed++
 	c.asked, c.heard = c.asked || s.request != nil, true
 	c.startWriter()
 	stays := c.evicted
@@ -248,10 +248,10 @@
 		return
 	}
 	c.mu.Lock()
-	taken, failed := c.taken, c.failed
+	owed, failed := c.owed, c.failed
 	c.mu.Unlock()
 	log.Closed(eventlog.Closed{Client: c.number, Reason: cmp.Or(failed, reason).Error(), Age: time.Since(c.opened),
-		Commands: taken, Unread: waiting(c.nc)})
+		Answers: owed, Unread: waiting(c.nc)})
 }
 
 // finish lets the writer send the answers still due: a connection that closes
@@ -398,7 +398,7 @@
 		if err := c.ends(&in, held); err != nil {
 			return err
 		}
-		if len(in.buf) == cap(in.buf) {
+		if len(in.buf) == cap(in.buf) || held && c.readsNoMore() {
 			if !c.stand(&in) {
 				return errLeft
 			}
@@ -456,7 +456,14 @@
 	return nil
 }
 
-// stand waits with a full buffer, until a command may be started again. It
+// readsNoMore tells that nothing is read but what has been read already.
+func (c *client) readsNoMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.final
+}
+
+// stand waits without reading on, until a command may be started again. It
 // returns false if the client leaves before.
 func (c *client) stand(in *input) bool {
 	if in.full {
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -225,6 +226,42 @@
 	}
 }
 
+// A command that was read and has no place yet is started after the last read,
+// and nothing behind it is read meanwhile: there is no time left for its answer.
+func TestHeldCommandIsStartedAndNothingBehindItRead(t *testing.T) {
+	r := newRig(t, nil, newBackend(t).member("b"))
+	b := newBench(t)
+	c := newClient(r.server, b.nc)
+	c.drained, c.halted, c.final = true, true, true
+	c.pending = make([]*slot, mostPending)
+	first, behind := encode("PING"), encode("PING")
+	fmt.Fprint(b.far, first)
+	r.eventually("the command to come", func(*loop) bool { return waiting(b.nc) })
+	taken := make(chan error, 1)
+	go func() { taken <- c.take() }()
+	isHeld := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.full
+	}
+	r.eventually("the command to be held", func(*loop) bool { return isHeld() })
+	fmt.Fprint(b.far, behind)
+	r.eventually("what is behind to come", func(*loop) bool { return waiting(b.nc) })
+	c.mu.Lock() // as the writer does
+	c.pending, c.full = nil, false
+	c.mu.Unlock()
+	notify(c.space)
+	if err := wait(t, "the reader's end", taken); !errors.Is(err, errFinal) {
+		t.Errorf("the reader ends with %v", err)
+	}
+	if got := unread(t, b.far, len("+PONG\r\n")); got != "+PONG\r\n" {
+		t.Errorf("the held command is answered %q", got)
+	}
+	if !waiting(b.nc) {
+		t.Error("what is behind has been read")
+	}
+}
+
 // An answer that the client's machine has not taken yet is not thrown away by the
 // end of its connection, though bytes cross it that nobody reads: the reset that
 // these cause waits for the answer.
