Outlive the reader of the log

Found by crossing the new log with the end of its reader: a write to a broken standard error ends a Go program by SIGPIPE, and the log now writes most in a shutdown.

--- a/cmd/cedarseam/main.go
+++ b/cmd/cedarseam/main.go
@@ -39,6 +39,7 @@
 func run(log *eventlog.Log) error {
 	// Taken from the first moment on: by default these signals end the process.
 	ctx := untilTerminated()
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads must not end the process either
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := ingress.LoadConfig(os.Getenv)
--- a/cmd/cedarseam/process_test.go
+++ b/cmd/cedarseam/process_test.go
@@ -20,6 +20,7 @@
 	*testing.T
 	command *exec.Cmd
 	path    string // of its configuration
+	log     io.Closer
 	addr    string // where it serves clients
 	ended   chan struct{}
 	err     error // valid once ended is closed
@@ -54,6 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.log = log
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/cedarseam/shutdown_test.go
+++ b/cmd/cedarseam/shutdown_test.go
@@ -322,3 +322,27 @@
 	file.Close()
 	p.wantEnd()
 }
+
+// A log whose reader has gone does not end the program, in a shutdown least of
+// all: what was read is answered.
+func TestProgramOutlivesTheReaderOfItsLog(t *testing.T) {
+	backend, requests := hangingBackend(t)
+	discovery, _ := server(t)
+	p := start(t, shutdownConfiguration(discovery, longestDeadline, backend))
+	p.ready()
+	p.log.Close()
+	nc, in := dial(t, p.addr)
+	if _, err := io.WriteString(nc, payment(1, 1000)); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-requests:
+	case <-time.After(patience):
+		t.Fatal("the request is not forwarded")
+	}
+	p.signal(syscall.SIGTERM) // from here on the log tells of each request
+	if got := <-answerOf(in); got.line != "-ERR failed\r\n" {
+		t.Errorf("the request is answered %q, %v", got.line, got.err)
+	}
+	p.wantEnd()
+}
