Leave the last answers their time when a stop is noticed late

Found on reading the change again: a process that is held up over the end of reading and that of closing finds both over at once when it goes on, and closed its connections under requests that it had read a moment before. The last answers now have 50 ms from when the end of reading is noticed; with a hold-up of 0.15 s that is still 0.1 s before the kill.

--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -51,14 +51,16 @@
 	s.loop.post(func(l *loop) { l.gateway.Stop(l.now(), plan.AnswerBy.Sub(l.start)) })
 	s.drain(false)
 	go s.stopAccepting(plan, accepted)
+	last := plan
 	select {
 	case <-s.empty:
 	case <-s.endOf(reading, plan):
 		s.stopReading()
+		last = plan.ReadingEnded(time.Now())
 	}
 	select {
 	case <-s.empty:
-	case <-s.endOf(closing, plan):
+	case <-s.endOf(closing, last):
 		s.closeAll()
 	}
 	s.logState("ended")
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -226,6 +226,28 @@
 	}
 }
 
+// A process that was held up finds all its times over at once: what it has read
+// is answered all the same before it closes.
+func TestAnswersComeFirstWhenAllTimesAreOver(t *testing.T) {
+	b := newBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	r.server.plan = func(begun time.Time, _ time.Duration) shutdown.Schedule {
+		over := begun.Add(-time.Millisecond)
+		return shutdown.Schedule{Begun: over, AcceptUntil: over, AnswerBy: over, ReadUntil: over, CloseBy: over, Kill: over}
+	}
+	waiting, halfway := r.dial(), r.dial()
+	pay(waiting)
+	wait(t, "the request", b.got)
+	half(halfway)
+	r.eventually("half the command to be read", func(*loop) bool { return !r.unreadOf(halfway) })
+	r.stop()
+	waiting.wantAll(failure)
+	halfway.wantAll(refusal)
+	if err := wait(t, "the end", r.ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // A command that was read and has no place yet is started after the last read,
 // and nothing behind it is read meanwhile: there is no time left for its answer.
 func TestHeldCommandIsStartedAndNothingBehindItRead(t *testing.T) {
--- a/internal/shutdown/schedule.go
+++ b/internal/shutdown/schedule.go
@@ -39,6 +39,9 @@
 	// lastClose is left between the last read and the end, for the other side to
 	// take the last answers.
 	lastClose = 100 * time.Millisecond
+	// lastAnswers is left for the last answers at least, also when the process was
+	// held up and notices the end of reading late: all timers are due then.
+	lastAnswers = 50 * time.Millisecond
 )
 
 // Schedule is when each phase of a stop ends at the latest. Begun comes first;
@@ -69,6 +72,15 @@
 	}
 }
 
+// ReadingEnded returns the schedule of a process that has noticed the end of
+// reading at a time: what it has read just before is still to be answered.
+func (s Schedule) ReadingEnded(at time.Time) Schedule {
+	if least := at.Add(lastAnswers); s.CloseBy.Before(least) {
+		s.CloseBy = least
+	}
+	return s
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/shutdown/schedule_test.go
+++ b/internal/shutdown/schedule_test.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// A process that is held up while it reads still has time for the last answers,
+// and still ends before the kill.
+func TestLastAnswersHaveTimeAfterAHoldUp(t *testing.T) {
+	s := NewSchedule(time.Now(), time.Second)
+	if onTime := s.ReadingEnded(s.ReadUntil); !onTime.CloseBy.Equal(s.CloseBy) {
+		t.Errorf("with no hold-up the end moves by %v", onTime.CloseBy.Sub(s.CloseBy))
+	}
+	noticed := s.ReadUntil.Add(holdUp)
+	late := s.ReadingEnded(noticed)
+	if left := late.CloseBy.Sub(noticed); left < lastAnswers {
+		t.Errorf("%v are left for the last answers, want %v", left, lastAnswers)
+	}
+	if !late.CloseBy.Before(s.Kill) {
+		t.Errorf("it ends %v after the kill", late.CloseBy.Sub(s.Kill))
+	}
+}
+
 func TestStopCountsFromTheSignal(t *testing.T) {
 	at := time.Now().Add(-time.Minute)
 	ctx, cancel := context.WithCancelCause(t.Context())
