--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -97,6 +98,17 @@
 	c.send("Q.ASK", anyone, newID(), strings.Replace(lookup, "20000", "150", 1))
 }
 
+// many is so many requests that some are read and held back.
+const many = 2 * mostPending
+
+func askMany(c *fakeClient) {
+	var text strings.Builder
+	for range many {
+		text.WriteString(encode("Q.ASK", anyone, newID(), lookup))
+	}
+	c.write(text.String())
+}
+
 // hears waits for an answer.
 func hears(line string) func(*fakeClient) {
 	return func(c *fakeClient) { c.want(line) }
@@ -123,6 +135,7 @@
 	"a first request after the listener's end":   {halted: ask, want: []string{refusal}, forward: 1},
 	"a first payment after the listener's end":   {halted: pay, want: []string{failure}, forward: 1},
 	"a first request after the time for answers": {due: pay, want: []string{refusal}},
+	"more requests than may be open":             {before: askMany, want: slices.Repeat([]string{refusal}, many), forward: 1},
 	"wrong commands before a request": {
 		before: func(c *fakeClient) { c.write(encode("GET") + encode("GET") + encode("GET") + encode("PING")) },
 		want:   []string{"-ERR unknown command", "-ERR unknown command", "-ERR unknown command", "+PONG"}},
@@ -147,6 +160,18 @@
 	}
 }
 
+// each hands on what comes to the backend, until the end of the test.
+func (b *fakeBackend) each(t *testing.T, do func(received)) {
+	for {
+		select {
+		case request := <-b.got:
+			do(request)
+		case <-t.Context().Done():
+			return
+		}
+	}
+}
+
 func checkStop(t *testing.T, state stopCase, begin func(received)) {
 	b := newBackend(t)
 	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing, cfg.Choice.MaxAttempts = false, 1 }, b.member("b"))
@@ -158,14 +183,11 @@
 			}
 		})
 	}
-	got := make(chan struct{}, 10)
-	go func() {
-		for request := range b.got {
-			begin(request)
-			got <- struct{}{}
-		}
-	}()
-	defer close(b.got)
+	got := make(chan struct{}, many)
+	go b.each(t, func(request received) {
+		begin(request)
+		got <- struct{}{}
+	})
 	forwarded := 0
 	c := r.dial()
 	step := func(do func(*fakeClient)) {
@@ -430,12 +452,7 @@
 			got.answer("first")
 			waiting.want("$5\r\nfirst")
 			for _, b := range []*fakeBackend{has, other} {
-				go func() {
-					for got := range b.got {
-						got.answer("v")
-					}
-				}()
-				t.Cleanup(func() { close(b.got) })
+				go b.each(t, func(got received) { got.answer("v") })
 			}
 			halfway.write(command[40:])
 			halfway.want("$1\r\nv")
