Move the end of a client's connection into a file of its own

Who asks for an end, and what happens between the reader's decision and the close, stands in client_end.go now; functions are moved as they stand.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -1,20 +1,15 @@
 package ingress
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
-	"golang.org/x/sys/unix"
-
-	"cedarseam/internal/eventlog"
 )
 
 const (
@@ -129,39 +124,6 @@
 	c.nc.SetReadDeadline(longAgo)
 }
 
-// evict closes the connection at once, unless a command has come just now.
-func (c *client) evict() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evicted = true
-	c.nudge()
-}
-
-// drain closes the connection between requests. Once halted it takes no further
-// one, but for the first on a new connection.
-func (c *client) drain(halt bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.drained, c.halted = true, c.halted || halt
-	c.nudge()
-}
-
-// stopReading ends the connection once all that was read is started and answered.
-func (c *client) stopReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.final = true
-	c.nudge()
-}
-
-// closeNow closes the connection, whatever is due.
-func (c *client) closeNow() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.failed = fmt.Errorf("the process ends with %d answers not taken", len(c.pending))
-	c.nc.Close()
-}
-
 // startWriter starts the writer with the first that it has to do: most
 // connections of bad clients never give it anything.
 func (c *client) startWriter() {
@@ -241,139 +203,6 @@
 	c.server.remove(c)
 }
 
-// logClose writes why the connection ends, before it does.
-func (c *client) logClose(reason error) {
-	log := c.server.cfg.Log
-	if !log.Detailed() {
-		return
-	}
-	c.mu.Lock()
-	owed, failed := c.owed, c.failed
-	c.mu.Unlock()
-	log.Closed(eventlog.Closed{Client: c.number, Reason: cmp.Or(failed, reason).Error(), Age: time.Since(c.opened),
-		Answers: owed, Unread: waiting(c.nc)})
-}
-
-// finish lets the writer send the answers still due: a connection that closes
-// under them loses requests. It returns sooner if the client leaves.
-func (c *client) finish() {
-	c.mu.Lock()
-	c.closing = true
-	due := c.writing && !c.evicted
-	c.nc.SetReadDeadline(time.Time{})
-	c.mu.Unlock()
-	if !due {
-		return
-	}
-	notify(c.wake)
-	if left := c.watch(); left || leaves(c, c.written) {
-		return
-	}
-	c.linger()
-}
-
-// linger waits until the last answers have arrived, or the client has left: what
-// crosses the end turns it into a reset, which must not overtake them, and which
-// throws away what the client's machine has not taken yet.
-func (c *client) linger() {
-	end := time.Now().Add(lingerTime)
-	c.nc.SetReadDeadline(end)
-	if left := c.watch(); left || leaves(c, time.After(time.Until(end))) {
-		return
-	}
-	given := make(chan struct{})
-	defer time.AfterFunc(writeTimeout, func() { close(given) }).Stop()
-	for undelivered(c.nc) {
-		select {
-		case <-given:
-			return
-		case <-time.After(leaveCheck):
-		}
-	}
-}
-
-// watch waits until the client leaves, or sends something, or the deadline has
-// passed. It takes nothing off the connection.
-func (c *client) watch() (left bool) {
-	raw, err := c.nc.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	var first [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = n == 0 || n < 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-		return n > 0 || left
-	})
-	return left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// leaves waits for done, and tells whether the client has left before. What it
-// has sent and nobody reads hides its end, so the connection itself is asked.
-func leaves[T any](c *client, done <-chan T) bool {
-	check := time.NewTicker(leaveCheck)
-	defer check.Stop()
-	for {
-		select {
-		case <-done:
-			return false
-		case <-check.C:
-			if left(c.nc) {
-				return true
-			}
-		}
-	}
-}
-
-// left tells whether the other side has closed the connection, read or not.
-func left(nc net.Conn) bool {
-	info, err := tcpInfo(nc)
-	switch {
-	case errors.Is(err, errUnknown):
-		return false
-	case err != nil:
-		return true
-	}
-	switch info.State {
-	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT,
-		unix.BPF_TCP_CLOSING, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_TIME_WAIT: // and this side before
-		return true
-	}
-	return false
-}
-
-// undelivered tells whether the other side's machine has not taken all that was
-// written yet.
-func undelivered(nc net.Conn) bool {
-	info, err := tcpInfo(nc)
-	if err != nil || info.State == unix.BPF_TCP_CLOSE {
-		return false
-	}
-	return info.Unacked > 0 || info.Notsent_bytes > 0
-}
-
-// errUnknown means that the system does not tell the state of a connection.
-var errUnknown = errors.New("the state of the connection is not known")
-
-// tcpInfo asks the system for the state of a connection. An error other than
-// errUnknown means that it is closed on this side.
-func tcpInfo(nc net.Conn) (info *unix.TCPInfo, err error) {
-	raw, err := nc.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	var refused error
-	if err := raw.Control(func(fd uintptr) {
-		info, refused = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	}); err != nil {
-		return nil, err
-	}
-	if refused != nil {
-		return nil, errUnknown
-	}
-	return info, nil
-}
-
 // input is what the reader has read and not started yet.
 type input struct {
 	buf  []byte
