--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -13,12 +13,10 @@
 	"time"
 )
 
-// errNotRun means that a case could not be played as described.
-type errNotRun struct{ error }
-
 func main() {
 	cases := map[string]func(rec *record, dir string, trouble bool) (broken []string, err error){
-		"spoilt": playSpoilt,
+		"spoilt":  playSpoilt,
+		"at-once": playAtOnce,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD")
