--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,6 +17,7 @@
 	cases := map[string]func(rec *record, dir string, trouble bool) (broken []string, err error){
 		"spoilt":  playSpoilt,
 		"at-once": playAtOnce,
+		"leave":   playLeave,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD")
