Log the form of each backend answer and the length of the value it yields

Change: 'attempt ended' carries the form of the answer on the wire (array, bulk string, error line, line, malformed, none) and the bytes of the value for the client.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -149,19 +149,22 @@
 
 // AttemptEnded describes the end of an attempt.
 type AttemptEnded struct {
-	Request  uint64
-	Attempt  int
-	Backend  string
-	Status   string
-	Elapsed  time.Duration
-	Reusable bool // the connection can carry another attempt
+	Request    uint64
+	Attempt    int
+	Backend    string
+	Status     string
+	Answer     string // the form of the backend's answer on the wire
+	ValueBytes int    // length of the value that the client is sent, with its framing
+	Elapsed    time.Duration
+	Reusable   bool // the connection can carry another attempt
 }
 
 // AttemptEnded writes the end of an attempt.
 func (l *Log) AttemptEnded(e AttemptEnded) {
 	if l.Detailed() {
 		l.writeDetail("attempt ended", requestID(e.Request), slog.Int("attempt", e.Attempt), slog.String("backend", e.Backend),
-			slog.String("status", e.Status), milliseconds("elapsed_ms", e.Elapsed), slog.Bool("kept", e.Reusable))
+			slog.String("status", e.Status), slog.String("answer", e.Answer), slog.Int("value_bytes", e.ValueBytes),
+			milliseconds("elapsed_ms", e.Elapsed), slog.Bool("kept", e.Reusable))
 	}
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -79,7 +79,7 @@
 	}
 	nc, err := a.dial()
 	if err != nil {
-		a.finish(reply{status: a.unsentStatus()}, nil)
+		a.finish(reply{status: a.unsentStatus(), form: formNone}, nil)
 		return
 	}
 	a.runOnConn(&conn{nc: nc, backend: a.backend, pool: a.pool})
@@ -90,7 +90,7 @@
 func (a *attempt) runOnConn(c *conn) {
 	if !c.send(a) {
 		c.close("closed, or unexpected bytes received, before the first byte was sent")
-		a.finish(reply{status: a.unsentStatus()}, nil)
+		a.finish(reply{status: a.unsentStatus(), form: formNone}, nil)
 		return
 	}
 	c.readAnswers()
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -235,9 +235,37 @@
 	return b
 }
 
+// replyForm is the form of a backend's answer on the wire, as it is logged.
+type replyForm string
+
+const (
+	formNone      replyForm = "none" // no whole answer was received
+	formArray     replyForm = "array"
+	formBulk      replyForm = "bulk string"
+	formErrorLine replyForm = "error line"
+	formLine      replyForm = "line" // a simple string or an integer
+	formMalformed replyForm = "malformed"
+)
+
+// replyFormOf returns the form of an answer by its type byte.
+func replyFormOf(typeByte byte) replyForm {
+	switch typeByte {
+	case '*':
+		return formArray
+	case '$':
+		return formBulk
+	case '-':
+		return formErrorLine
+	case '+', ':':
+		return formLine
+	}
+	return formMalformed
+}
+
 // reply is the answer of a backend to a request or a probe.
 type reply struct {
 	status  choice.Status
+	form    replyForm
 	value   []byte      // the value, encoded as a bulk string
 	metered bool        // used is valid
 	used    float64     // the customer's use over all gateways, see choice.Outcome.Used
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -148,6 +148,7 @@
 		<-a.writeDone // an answer may arrive before the writing goroutine continues
 		if n > 0 {
 			answer, parsed, parseErr := c.pool.cfg.nextReply(buf)
+			answer.form = replyFormOf(buf[0])
 			if parseErr == nil && parsed > 0 {
 				if err == nil && a.fullyWritten && parsed == len(buf) && c.makeIdle(a) {
 					buf = buf[:0]
@@ -193,7 +194,11 @@
 		}
 		// Closed before the outcome is reported: a second attempt must not overlap.
 		c.close(status.String())
-		a.finish(reply{status: status}, nil)
+		form := formNone
+		if errors.Is(err, errMalformed) || errors.Is(err, errTooLong) {
+			form = formMalformed
+		}
+		a.finish(reply{status: status, form: form}, nil)
 		return
 	}
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -221,8 +221,8 @@
 	r.inFlight--
 	if l.cfg.Log.Detailed() {
 		l.cfg.Log.AttemptEnded(eventlog.AttemptEnded{Request: r.requestID, Attempt: a.number,
-			Backend: a.backend.name, Status: answer.status.String(), Elapsed: elapsed,
-			Reusable: c != nil && !a.dedicatedConn})
+			Backend: a.backend.name, Status: answer.status.String(), Answer: string(answer.form),
+			ValueBytes: len(answer.value), Elapsed: elapsed, Reusable: c != nil && !a.dedicatedConn})
 	}
 	if answer.status == choice.OK {
 		l.logFinished(r, "served", a.backend.name, 0)
