Answer no request from a bulk string, which is the answer to a probe

Cause: nextReply did not know what was asked. A bulk string, the form of a load report, ended any attempt as OK with an empty value; handleAttemptEnd then answered the request with zero bytes.

Change: an attempt parses its answer by what it asked. A request takes an array with a value or an error line, a probe a load report or an error line. Anything else is malformed, which fails the attempt (it may have run) and closes the connection; lines such as +OK, nulls and unprintable error lines used to leave it in use.

Tests: TestNextReply now lists each form for both kinds of attempt, with all its old cases: those that are valid only for a probe must now be malformed for a request and the other way round, and four lines that failed the request must now also end the connection. TestAnswerWithoutValueFailsOnlyItsOwnRequest plays fifteen forms with a second request behind the first.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -136,3 +136,11 @@
 	}
 	return a.request.appendTo(make([]byte, 0, a.request.size+64), time.Until(a.deadline))
 }
+
+// parseAnswer parses the first answer in buf as an answer to the request, or to the probe.
+func (a *attempt) parseAnswer(buf []byte) (answer reply, n int, err error) {
+	if a.request == nil {
+		return a.pool.cfg.nextProbeReply(buf)
+	}
+	return a.pool.cfg.nextReply(buf)
+}
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -272,9 +272,11 @@
 	load    choice.Load // the load report; Count is 0 if there was no valid one
 }
 
-// nextReply parses the first answer in buf, and returns its length n, which is 0 while
-// the answer is incomplete. An error means that more input can't make it valid, so that
-// the request need not wait for its deadline. The value is a copy.
+// nextReply parses the first answer in buf to a request, and returns its length n, which
+// is 0 while the answer is incomplete. An error means that more input can't make it valid,
+// so that the request need not wait for its deadline, and that the connection can't be
+// used again. A request is answered by a value or by an error line, and by nothing else:
+// an answer in any other form has no value for the client. The value is a copy.
 func (cfg *Config) nextReply(buf []byte) (r reply, n int, err error) {
 	r.status = choice.Error
 	if len(buf) == 0 {
@@ -283,34 +285,54 @@
 	switch buf[0] {
 	case '*':
 		return cfg.parseValueReply(buf)
-	case '$': // answer to a probe
-		data, n, err := parseBulkOrNull(buf, maxMetricsBytes)
-		if n > 0 && data != nil {
+	case '-':
+		return cfg.parseErrorReply(buf)
+	}
+	return r, 0, errMalformed
+}
+
+// nextProbeReply does the same for the answer to a probe, which is a load report or an
+// error line.
+func (cfg *Config) nextProbeReply(buf []byte) (r reply, n int, err error) {
+	r.status = choice.Error
+	if len(buf) == 0 {
+		return r, 0, nil
+	}
+	switch buf[0] {
+	case '$':
+		report, n, err := parseBulkOrNull(buf, maxMetricsBytes)
+		if n > 0 && report != nil {
 			r.status = choice.OK
-			cfg.parseMetrics(&r, data)
+			cfg.parseMetrics(&r, report)
 		}
 		return r, n, err
 	case '-':
-		text, n, err := parseLine(buf)
-		if n == 0 || err != nil {
-			return r, 0, err
-		}
-		words := bytes.Fields(text)
-		// A corrupted line is no proof of a refusal, even if it begins with BUSY.
-		if len(words) > 0 && string(words[0]) == "BUSY" && isPrintable(text) {
-			r.status = choice.Refused
-		}
-		for _, word := range words {
-			cfg.parseMetrics(&r, word)
-		}
-		return r, n, nil
-	case '+', ':':
-		_, n, err := parseLine(buf)
-		return r, n, err
+		return cfg.parseErrorReply(buf)
 	}
 	return r, 0, errMalformed
 }
 
+// parseErrorReply parses an error line. Metrics may follow its first words. A corrupted
+// line is malformed: it is no proof of a refusal, even if it begins with BUSY.
+func (cfg *Config) parseErrorReply(buf []byte) (r reply, n int, err error) {
+	r.status = choice.Error
+	text, n, err := parseLine(buf)
+	if n == 0 || err != nil {
+		return r, 0, err
+	}
+	words := bytes.Fields(text)
+	if len(words) == 0 || !isPrintable(text) {
+		return r, 0, errMalformed
+	}
+	if string(words[0]) == "BUSY" {
+		r.status = choice.Refused
+	}
+	for _, word := range words {
+		cfg.parseMetrics(&r, word)
+	}
+	return r, n, nil
+}
+
 // parseValueReply parses an answer with a value: an array of the value, the usage
 // report and the load report. The reports may be null, and are ignored if they are
 // invalid: the value is still usable without them.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -147,7 +147,7 @@
 		}
 		<-a.writeDone // an answer may arrive before the writing goroutine continues
 		if n > 0 {
-			answer, parsed, parseErr := c.pool.cfg.nextReply(buf)
+			answer, parsed, parseErr := a.parseAnswer(buf)
 			answer.form = replyFormOf(buf[0])
 			if parseErr == nil && parsed > 0 {
 				if err == nil && a.fullyWritten && parsed == len(buf) && c.makeIdle(a) {
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -22,57 +22,118 @@
 		t.Fatal(err)
 	}
 	load := choice.Load{Count: 2, Values: [4]float64{7, 12.5}}
+	parsers := map[string]func([]byte) (reply, int, error){"request": cfg.nextReply, "probe": cfg.nextProbeReply}
+	const (
+		toRequest = 1 << iota // the answer is valid for a request
+		toProbe               // the answer is valid for a probe
+	)
 	for _, c := range []struct {
-		text string
-		want reply
+		text    string
+		validTo int // for any other kind of attempt the answer is malformed
+		want    reply
 	}{
-		{"*3\r\n$1\r\nv\r\n$7\r\nused=37\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n"), metered: true, used: 0.37}},
-		{"*3\r\n$0\r\n\r\n$-1\r\n$26\r\nlatency_ms=12.5,inflight=7\r\n",
+		{"*3\r\n$1\r\nv\r\n$7\r\nused=37\r\n$-1\r\n", toRequest,
+			reply{status: choice.OK, value: []byte("$1\r\nv\r\n"), metered: true, used: 0.37}},
+		{"*3\r\n$0\r\n\r\n$-1\r\n$26\r\nlatency_ms=12.5,inflight=7\r\n", toRequest,
 			reply{status: choice.OK, value: []byte("$0\r\n\r\n"), load: load}},
-		{"*3\r\n$-1\r\n$6\r\nused=0\r\n$-1\r\n", reply{status: choice.Error, metered: true}},
-		{"*3\r\n$1\r\nv\r\n:5\r\n+x\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$-1\r\n$6\r\nused=0\r\n$-1\r\n", toRequest, reply{status: choice.Error, metered: true}},
+		{"*3\r\n$1\r\nv\r\n:5\r\n+x\r\n", toRequest, reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
 		// invalid or implausible figures are ignored, and the value is kept
-		{"*3\r\n$1\r\nv\r\n$8\r\nused=-37\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
-		{"*3\r\n$1\r\nv\r\n$8\r\nused=1e9\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
-		{"*3\r\n$1\r\nv\r\n$11\r\nused=999999\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
-		{"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=x\r\n$-1\r\n", reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
-		{"$26\r\ninflight=7,latency_ms=-1.5\r\n", reply{status: choice.OK}},
-		{"$25\r\ninflight=7,inflight=77.00\r\n", reply{status: choice.OK}},
-		{"$10\r\ninflight=7\r\n", reply{status: choice.OK}},
-		{"$31\r\ninflight=7000000,latency_ms=1.5\r\n", reply{status: choice.OK}},
+		{"*3\r\n$1\r\nv\r\n$8\r\nused=-37\r\n$-1\r\n", toRequest, reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$8\r\nused=1e9\r\n$-1\r\n", toRequest, reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$11\r\nused=999999\r\n$-1\r\n", toRequest, reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"*3\r\n$1\r\nv\r\n$14\r\nused=37,cost=x\r\n$-1\r\n", toRequest, reply{status: choice.OK, value: []byte("$1\r\nv\r\n")}},
+		{"$26\r\ninflight=7,latency_ms=-1.5\r\n", toProbe, reply{status: choice.OK}},
+		{"$25\r\ninflight=7,inflight=77.00\r\n", toProbe, reply{status: choice.OK}},
+		{"$10\r\ninflight=7\r\n", toProbe, reply{status: choice.OK}},
+		{"$31\r\ninflight=7000000,latency_ms=1.5\r\n", toProbe, reply{status: choice.OK}},
+		{"$-1\r\n", toProbe, reply{status: choice.Error}},
+		{"$26\r\ninflight=7,latency_ms=12.5\r\n", toProbe, reply{status: choice.OK, load: load}},
+		{"-BUSYx\r\n", toRequest | toProbe, reply{status: choice.Error}},
+		{"-ERR failed\r\n", toRequest | toProbe, reply{status: choice.Error}},
+		{"-ERR failed used=120 inflight=7,latency_ms=12.5\r\n", toRequest | toProbe,
+			reply{status: choice.Error, metered: true, used: 1.2, load: load}},
+		{"-BUSY\r\n", toRequest | toProbe, reply{status: choice.Refused}},
+		{"-BUSY used=5,cost=4\r\n", toRequest | toProbe, reply{status: choice.Refused, metered: true, used: 0.05}},
+		{"-BUSY used=x\r\n", toRequest | toProbe, reply{status: choice.Refused}},
 		// an invalid line does not count as a rejection
-		{"-BUSY \x01\xff\r\n", reply{status: choice.Error}},
-		{"-BUSYx\r\n", reply{status: choice.Error}},
-		{"-ERR failed\r\n", reply{status: choice.Error}},
-		{"-ERR failed used=120 inflight=7,latency_ms=12.5\r\n", reply{status: choice.Error, metered: true, used: 1.2, load: load}},
-		{"-BUSY\r\n", reply{status: choice.Refused}},
-		{"-BUSY used=5,cost=4\r\n", reply{status: choice.Refused, metered: true, used: 0.05}},
-		{"-BUSY used=x\r\n", reply{status: choice.Refused}},
-		{"-\r\n", reply{status: choice.Error}},
-		{"+OK\r\n", reply{status: choice.Error}},
-		{":1\r\n", reply{status: choice.Error}},
-		{"$-1\r\n", reply{status: choice.Error}},
-		{"$26\r\ninflight=7,latency_ms=12.5\r\n", reply{status: choice.OK, load: load}},
+		{"-BUSY \x01\xff\r\n", 0, reply{}},
+		{"-\r\n", 0, reply{}},
+		{"+OK\r\n", 0, reply{}},
+		{":1\r\n", 0, reply{}},
 	} {
-		for cut := range c.text {
-			if _, n, err := cfg.nextReply([]byte(c.text[:cut])); n != 0 || err != nil {
-				t.Errorf("incomplete %q: %d bytes consumed, error %v, want neither", c.text[:cut], n, err)
+		for kind, parse := range parsers {
+			if kind == "request" && c.validTo&toRequest == 0 || kind == "probe" && c.validTo&toProbe == 0 {
+				if got, n, err := parse([]byte(c.text)); n != 0 || err == nil || got.status != choice.Error {
+					t.Errorf("%q to a %s is parsed as %+v (%d bytes), want an error", c.text, kind, got, n)
+				}
+				continue
+			}
+			for cut := range c.text {
+				if _, n, err := parse([]byte(c.text[:cut])); n != 0 || err != nil {
+					t.Errorf("incomplete %q to a %s: %d bytes consumed, error %v, want neither", c.text[:cut], kind, n, err)
+				}
+			}
+			got, n, err := parse([]byte(c.text))
+			if err != nil || n != len(c.text) || !reflect.DeepEqual(got, c.want) {
+				t.Errorf("%q to a %s is parsed as %+v (%d bytes, error %v), want %+v", c.text, kind, got, n, err, c.want)
 			}
-		}
-		got, n, err := cfg.nextReply([]byte(c.text))
-		if err != nil || n != len(c.text) || !reflect.DeepEqual(got, c.want) {
-			t.Errorf("%q is parsed as %+v (%d bytes, error %v), want %+v", c.text, got, n, err, c.want)
 		}
 	}
 	for _, text := range []string{"$9223372036854775807\r\nxx\r\n", "*1\r\n", "*3\r\n$x", "*3\r\n$3000000000", "*3\r\n$70000\r\n",
 		"*3\r\n$1\r\nvv\r\n", "*3\r\n*1\r\n", "*-1\r\n", "*3\r\n$-2", "*3\r\n$1\r\nv\r\n$9999\r\n", "*3\r\n$1\r\nv\r\nx", "\x00", "noise",
 		"+OK\n", "-" + strings.Repeat("x", maxLineBytes)} {
-		if _, _, err := cfg.nextReply([]byte(text)); err == nil {
-			t.Errorf("%.40q: no error, want one", text)
+		for kind, parse := range parsers {
+			if _, _, err := parse([]byte(text)); err == nil {
+				t.Errorf("%.40q to a %s: no error, want one", text, kind)
+			}
 		}
 	}
 }
 
+// Guards against a client that is never answered, or is given the value of its next
+// request: an answer in a form that carries no value for the client must fail its own
+// request alone, and its connection must not be used again.
+func TestAnswerWithoutValueFailsOnlyItsOwnRequest(t *testing.T) {
+	for name, answer := range map[string]string{
+		"bulk string":             "$4\r\nmine\r\n",
+		"array without its start": "$4\r\nmine\r\n$7\r\nused=20\r\n$-1\r\n",
+		"empty bulk string":       "$0\r\n\r\n",
+		"null":                    "$-1\r\n",
+		"load report":             "$26\r\ninflight=7,latency_ms=12.5\r\n",
+		"simple string":           "+OK\r\n",
+		"integer":                 ":1\r\n",
+		"short array":             "*1\r\n$4\r\nmine\r\n",
+		"long array":              "*4\r\n$4\r\nmine\r\n$-1\r\n$-1\r\n$-1\r\n",
+		"null array":              "*-1\r\n",
+		"empty array":             "*0\r\n",
+		"nested array":            "*3\r\n*1\r\n$4\r\nmine\r\n$-1\r\n$-1\r\n",
+		"empty error line":        "-\r\n",
+		"corrupted error line":    "-BUSY \x01\xff\r\n",
+		"noise":                   "\x00\x9c%?\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFakeBackend(t)
+			r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+			c := r.dial()
+			first, second := newRequestID(), newRequestID()
+			c.write(encode("Q.DO", testCustomer, first, paymentOptions, "BODY") +
+				encode("Q.DO", testCustomer, second, paymentOptions, "BODY"))
+			spoilt, good := wait(t, "a request", b.commands), wait(t, "another", b.commands)
+			if spoilt.args[2] != first {
+				spoilt, good = good, spoilt
+			}
+			good.replyValue("other")
+			fmt.Fprint(spoilt.nc, answer)
+			c.wantLine("-ERR failed")
+			c.wantLine("$5\r\nother")
+			if nc := wait(t, "the end of the spoilt connection", b.closed); nc != spoilt.nc {
+				t.Error("a different connection was closed")
+			}
+		})
+	}
+}
+
 // A request that must not run twice, and that may have run, gets no second attempt. It
 // fails rather than being refused, as a refusal would say that it has not run.
 func TestNonRepeatableRequestThatMayHaveRunFails(t *testing.T) {
