Take no answer that came before the request was written completely

What callers could see: a value made for something else. If bytes came back while a request was still being written and the write then failed, they were delivered as its answer.

Cause: readAnswers looked at fullyWritten only to decide whether the connection could be used again. A backend begins a request when its last byte has come, so nothing that arrives before can answer it, and it has not run.

Change: such an attempt ends as one that was not sent, whatever arrived.

Test: TestAnswerBeforeWholeRequestDoesNotAnswerIt lets the reader take the bytes in the middle of the write.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -149,6 +149,11 @@
 		if n > 0 {
 			answer, parsed, parseErr := a.parseAnswer(buf)
 			answer.form = replyFormOf(buf[0])
+			if parsed > 0 && !a.fullyWritten {
+				// A backend begins a request when its last byte has come, so these bytes
+				// answer something else.
+				answer = reply{status: a.unsentStatus(), form: answer.form}
+			}
 			if parseErr == nil && parsed > 0 {
 				if err == nil && a.fullyWritten && parsed == len(buf) && c.makeIdle(a) {
 					buf = buf[:0]
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"reflect"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -485,6 +486,38 @@
 	f.wantStatus(t, choice.ConnectFailed)
 }
 
+// interruptedWriteConn calls a function in the middle of a write, which then fails.
+type interruptedWriteConn struct {
+	*net.TCPConn
+	interrupt func()
+}
+
+func (c interruptedWriteConn) Write(b []byte) (int, error) {
+	n, _ := c.TCPConn.Write(b[:len(b)-1])
+	c.interrupt()
+	return n, io.ErrShortWrite
+}
+
+// Guards against a value that was made for something else: what arrives before the last
+// byte of a request is written can't be its answer. The request has not run.
+func TestAnswerBeforeWholeRequestDoesNotAnswerIt(t *testing.T) {
+	for _, answer := range []string{"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", "-ERR failed\r\n", "-BUSY\r\n", "$1\r\nv\r\n"} {
+		f := newConnFixture(t)
+		f.nc = interruptedWriteConn{f.nc.(*net.TCPConn), func() {
+			fmt.Fprint(f.peer, answer)
+			for f.nothingToRead() { // until the answer has arrived
+				runtime.Gosched()
+			}
+			go f.readAnswers()
+			for !f.nothingToRead() { // until the reader has taken it
+				runtime.Gosched()
+			}
+		}}
+		f.send(f.newAttempt(t))
+		f.wantStatus(t, choice.ConnectFailed)
+	}
+}
+
 // If the idle timeout of a connection expires just as an attempt starts, the attempt
 // continues.
 func TestIdleDeadlineDoesNotEndAttempt(t *testing.T) {
