Take bytes from a backend's connection and look at its attempt under one lock

What callers could see: a value made for something else, where a second answer or noise arrives in the moment in which a request takes the idle connection.

Cause: readAnswers read first and looked at the current attempt afterwards. In between, send found nothing to read, since the bytes were already taken, and started its attempt, which they then ended.

Change: the bytes are taken from the socket while the connection's lock is held, which send holds for its own look at the socket. A read that finds no attempt makes the connection unusable, as before.

Test: TestBytesTakenBeforeTheAttemptDoNotAnswerIt starts an attempt between the read and the look. Before the change it ended ok with the stray value. shortWriteConn now wraps the TCP connection itself, since the reader needs its descriptor; its checks are the same.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -129,17 +130,68 @@
 	c.nc.SetReadDeadline(deadline)
 }
 
+// read waits for the next bytes, and returns the attempt that was in flight when they were
+// taken from the socket. If there was none, the connection has been closed, has been idle
+// for too long, or sends unexpected bytes, and becomes unusable.
+//
+// The lock is held while the bytes are taken: otherwise send could start an attempt between
+// that and the look at the current attempt, and bytes that came before its request would
+// count as its answer.
+func (c *conn) read(buf []byte) (n int, a *attempt, err error) {
+	raw, err := c.nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, c.attemptForRead(), err
+	}
+	taken := false
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, readErr = readNonblocking(int(fd), buf)
+		if errors.Is(readErr, syscall.EAGAIN) {
+			return false
+		}
+		taken, a = true, c.current
+		c.unusable = a == nil
+		return true
+	})
+	switch {
+	case !taken: // the deadline has passed, or the connection is closed
+		return 0, c.attemptForRead(), err
+	case readErr != nil:
+		return 0, a, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, a, io.EOF
+	}
+	return n, a, nil
+}
+
+// attemptForRead returns the attempt in flight for a read that has taken no bytes.
+func (c *conn) attemptForRead() *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unusable = c.current == nil
+	return c.current
+}
+
+// readNonblocking reads from a file descriptor without waiting. It returns EAGAIN if there
+// is nothing to read.
+func readNonblocking(fd int, buf []byte) (n int, err error) {
+	for {
+		n, err = syscall.Read(fd, buf)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
 // readAnswers reads answers until the connection ends, and finishes each attempt. It also
 // detects that an idle connection was closed or has been idle for too long.
 func (c *conn) readAnswers() {
 	buf := make([]byte, 0, readBufferBytes)
 	for {
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
+		n, a, err := c.read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		c.mu.Lock()
-		a := c.current
-		c.unusable = a == nil // closed, idle for too long, or sending unexpected bytes
-		c.mu.Unlock()
 		if a == nil {
 			c.close(idleCloseReason(n, err))
 			c.pool.onIdleClose(c)
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -471,16 +471,16 @@
 }
 
 // shortWriteConn fails to write the last byte.
-type shortWriteConn struct{ net.Conn }
+type shortWriteConn struct{ *net.TCPConn }
 
 func (c shortWriteConn) Write(b []byte) (int, error) {
-	n, _ := c.Conn.Write(b[:len(b)-1])
+	n, _ := c.TCPConn.Write(b[:len(b)-1])
 	return n, io.ErrShortWrite
 }
 
 func TestIncompleteWriteCountsAsUnsent(t *testing.T) {
 	f := newConnFixture(t)
-	f.nc = shortWriteConn{f.nc}
+	f.nc = shortWriteConn{f.nc.(*net.TCPConn)}
 	f.send(f.newAttempt(t))
 	go f.readAnswers()
 	f.wantStatus(t, choice.ConnectFailed)
@@ -518,6 +518,43 @@
 	}
 }
 
+// afterReadConn calls a function between a read and its return.
+type afterReadConn struct {
+	*net.TCPConn
+	afterRead func()
+}
+
+func (c afterReadConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.afterRead()
+	return n, err
+}
+
+// Guards against a value that was made for something else: bytes that were taken from an
+// idle connection are not the answer to an attempt that starts while the reader is about to
+// look at them.
+func TestBytesTakenBeforeTheAttemptDoNotAnswerIt(t *testing.T) {
+	f := newConnFixture(t)
+	a := f.newAttempt(t)
+	f.nc = afterReadConn{f.nc.(*net.TCPConn), func() { f.send(a) }}
+	fmt.Fprint(f.peer, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+	readerDone := make(chan struct{})
+	go func() {
+		f.readAnswers()
+		close(readerDone)
+	}()
+	select {
+	case status := <-f.outcomes:
+		t.Fatalf("the attempt ends with status %d, by bytes that came before it", status)
+	case <-readerDone:
+	case <-time.After(testTimeout):
+		t.Fatal("the reader neither ends nor reports an outcome")
+	}
+	if f.send(a) {
+		t.Error("an attempt is sent on a connection with unexpected bytes")
+	}
+}
+
 // If the idle timeout of a connection expires just as an attempt starts, the attempt
 // continues.
 func TestIdleDeadlineDoesNotEndAttempt(t *testing.T) {
