Log the counted use of memory beside what the runtime finds in use

Change: the memory budget counts by use, and the detailed log has a line each 100 ms with these counts, the live heap of the last collection, the heap in use and what the runtime has from the system.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -167,7 +167,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.server.loop.memory.forceReserve(len(data)) // released when written
+	c.server.loop.memory.forceReserve(answerMemory, len(data)) // released when written
 	s.data, s.filled = data, true
 	first := len(c.pending) > 0 && c.pending[0] == s
 	c.mu.Unlock()
@@ -201,7 +201,7 @@
 		if s.request != nil && !s.filled {
 			unanswered = append(unanswered, s.request)
 		}
-		c.server.loop.memory.release(len(s.data))
+		c.server.loop.memory.release(answerMemory, len(s.data))
 	}
 	c.pending = nil
 	return unanswered
@@ -249,7 +249,7 @@
 	// Without a limit, a client that sends nothing, or only part of a command,
 	// would hold its file descriptor forever.
 	in := input{buf: make([]byte, 0, readBufferBytes), completeBy: c.opened.Add(firstCommandTimeout)}
-	defer func() { c.server.loop.memory.release(cap(in.buf) - readBufferBytes) }()
+	defer func() { c.server.loop.memory.release(inputMemory, cap(in.buf)-readBufferBytes) }()
 	for {
 		blocked, err := c.startCommands(&in)
 		if err != nil {
@@ -342,12 +342,12 @@
 	budget := c.server.loop.memory
 	switch {
 	case len(remaining) == 0 && cap(buf) > readBufferBytes:
-		budget.release(cap(buf) - readBufferBytes)
+		budget.release(inputMemory, cap(buf)-readBufferBytes)
 		return make([]byte, 0, readBufferBytes), nil
 	case len(remaining) == cap(buf):
 		size := min(2*cap(buf), maxMessageBytes+readBufferBytes)
 		switch {
-		case size > cap(buf) && budget.reserve(size-cap(buf)):
+		case size > cap(buf) && budget.reserve(inputMemory, size-cap(buf)):
 			return append(make([]byte, 0, size), remaining...), nil
 		case blocked:
 			return buf, nil
@@ -444,7 +444,7 @@
 		return err
 	}
 	budget := c.server.loop.memory
-	if !budget.reserve(size) {
+	if !budget.reserve(requestMemory, size) {
 		// The request has not been started, so the client may retry it. Holding
 		// more requests could run the process out of memory.
 		c.reply(c.server.busyReply())
@@ -474,7 +474,7 @@
 // reply answers a command without asking a backend.
 func (c *client) reply(data []byte) {
 	c.push(&slot{data: data, filled: true})
-	c.server.loop.memory.forceReserve(len(data))
+	c.server.loop.memory.forceReserve(answerMemory, len(data))
 	notify(c.writerWake)
 }
 
@@ -511,13 +511,13 @@
 		c.mu.Unlock()
 		notify(c.slotFreed)
 		if closed {
-			c.server.loop.memory.release(len(out))
+			c.server.loop.memory.release(answerMemory, len(out))
 			return
 		}
 		if len(out) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			_, err := c.nc.Write(out)
-			c.server.loop.memory.release(len(out))
+			c.server.loop.memory.release(answerMemory, len(out))
 			c.mu.Lock()
 			c.sending, c.closed, c.closeErr = false, c.closed || err != nil, err
 			if (c.draining || c.evicted) && len(c.pending) == 0 && !c.closing {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -182,7 +182,7 @@
 func (l *loop) removeIfDone(r *request) {
 	if r.finished && r.inFlight == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
-		l.memory.release(r.size)
+		l.memory.release(requestMemory, r.size)
 	}
 }
 
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -1,27 +1,81 @@
 package ingress
 
-import "sync/atomic"
+import (
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
 
-// memoryBudget counts the bytes that are held for clients: open requests, read
-// buffers beyond their initial size, and answers not written yet. Requests over the
-// limit are refused: holding them could run the process out of memory.
+	"cedarseam/internal/eventlog"
+)
+
+// memoryReportInterval is the time between two lines about the use of memory in the
+// detailed log.
+const memoryReportInterval = 100 * time.Millisecond
+
+// memoryUse is what reserved memory is used for.
+type memoryUse int
+
+const (
+	requestMemory memoryUse = iota // commands that were started and are not done with
+	answerMemory                   // answers that are not written yet
+	inputMemory                    // read buffers of clients beyond their initial size
+	memoryUses
+)
+
+// memoryBudget counts the bytes that are held for clients. Requests over the limit are
+// refused: holding them could run the process out of memory.
 type memoryBudget struct {
-	used  atomic.Int64
-	limit int64
+	limit  int64
+	used   atomic.Int64
+	usedBy [memoryUses]atomic.Int64
 }
 
 // reserve adds n bytes, unless that would exceed the limit. It reports whether it has
 // added them.
-func (m *memoryBudget) reserve(n int) bool {
+func (m *memoryBudget) reserve(use memoryUse, n int) bool {
 	if m.used.Add(int64(n)) > m.limit {
-		m.release(n)
+		m.used.Add(-int64(n))
 		return false
 	}
+	m.usedBy[use].Add(int64(n))
 	return true
 }
 
 // forceReserve adds n bytes even over the limit, for data that can no longer be refused.
-func (m *memoryBudget) forceReserve(n int) { m.used.Add(int64(n)) }
+func (m *memoryBudget) forceReserve(use memoryUse, n int) {
+	m.used.Add(int64(n))
+	m.usedBy[use].Add(int64(n))
+}
 
 // release returns n reserved bytes to the budget.
-func (m *memoryBudget) release(n int) { m.used.Add(-int64(n)) }
+func (m *memoryBudget) release(use memoryUse, n int) { m.forceReserve(use, -n) }
+
+// report writes the use of memory to the log until done is closed. The difference between
+// what the budget counts and what the garbage collector finds in use shows whether
+// something is held that is not counted.
+func (m *memoryBudget) report(log *eventlog.Log, done <-chan struct{}) {
+	ticker := time.NewTicker(memoryReportInterval)
+	defer ticker.Stop()
+	samples := []metrics.Sample{
+		{Name: "/gc/heap/live:bytes"},
+		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/memory/classes/total:bytes"},
+	}
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		metrics.Read(samples)
+		log.MemoryUsed(eventlog.MemoryUsed{
+			Limit:      m.limit,
+			Requests:   m.usedBy[requestMemory].Load(),
+			Answers:    m.usedBy[answerMemory].Load(),
+			Input:      m.usedBy[inputMemory].Load(),
+			LiveHeap:   int64(samples[0].Value.Uint64()),
+			HeapInUse:  int64(samples[1].Value.Uint64()),
+			FromSystem: int64(samples[2].Value.Uint64()),
+		})
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -82,6 +82,9 @@
 // is taken from the cause of ctx, if that is a shutdown.RequestedError.
 func (s *Server) Serve(ctx context.Context) error {
 	defer s.start()()
+	if s.cfg.Log.Detailed() {
+		go s.loop.memory.report(s.cfg.Log, s.loop.done)
+	}
 	go func() {
 		for {
 			select {
