Release a request's command when it is answered, not when the answer is written

Cause: the bytes of a request go back to the budget when it is finished, but its slot in the sequence of answers kept the request with its arguments until all answers before it were written. Ruled out: garbage (it is live), answers (17 KB) and read buffers (0.1 MB).

Change: a slot drops its request when it is filled. What remains counted is then what is held for requests.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -60,7 +60,7 @@
 
 // slot is the place of one answer in the sequence of answers of a connection.
 type slot struct {
-	request *request // nil for an answer that needs no backend
+	request *request // nil once answered, and for an answer that needs no backend
 	data    []byte   // the encoded answer
 	filled  bool     // data is set
 }
@@ -168,7 +168,8 @@
 		return
 	}
 	c.server.loop.memory.forceReserve(answerMemory, len(data)) // released when written
-	s.data, s.filled = data, true
+	// Answers before this one may take long, so the slot does not keep the command.
+	s.data, s.filled, s.request = data, true, nil
 	first := len(c.pending) > 0 && c.pending[0] == s
 	c.mu.Unlock()
 	if first {
@@ -198,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.pending {
-		if s.request != nil && !s.filled {
+		if s.request != nil {
 			unanswered = append(unanswered, s.request)
 		}
 		c.server.loop.memory.release(answerMemory, len(s.data))
