--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// writeTimeout bounds a write to a client that does not read its answers.
-	writeTimeout = 5 * time.Second
 	// lingerTimeout is how long a connection stays open after its last answer, so
 	// that the answer arrives before the connection closes.
 	lingerTimeout = 200 * time.Millisecond
@@ -58,13 +56,6 @@
 	errClientDisconnected     = errors.New("client disconnected")
 )
 
-// slot is the place of one answer in the sequence of answers of a connection.
-type slot struct {
-	request *request // nil once answered, and for an answer that needs no backend
-	data    []byte   // the encoded answer
-	filled  bool     // data is set
-}
-
 // client is the connection of a client. A reader goroutine parses pipelined
 // commands and starts them at once; a writer goroutine sends the answers in the
 // order of the commands.
@@ -150,64 +141,6 @@
 	c.nc.SetReadDeadline(expiredDeadline)
 }
 
-// startWriter starts the writer with the first answer: most connections of
-// misbehaving clients never need one. The caller holds c.mu.
-func (c *client) startWriter() {
-	if !c.writerStarted {
-		c.writerStarted = true
-		go c.writeLoop()
-	}
-}
-
-// fill stores the answer of a slot, and wakes the writer if it is the next to be
-// written. It does not block.
-func (c *client) fill(s *slot, data []byte) {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return
-	}
-	c.server.loop.memory.forceReserve(answerMemory, len(data)) // released when written
-	// Answers before this one may take long, so the slot does not keep the command.
-	s.data, s.filled, s.request = data, true, nil
-	first := len(c.pending) > 0 && c.pending[0] == s
-	c.mu.Unlock()
-	if first {
-		notify(c.writerWake)
-	}
-}
-
-// push appends a slot to the pending ones. The reader has checked that the pipeline
-// is not full. A command cancels an eviction of the connection.
-func (c *client) push(s *slot) {
-	c.mu.Lock()
-	c.pending = append(c.pending, s)
-	c.answers++
-	c.sentRequest, c.sentCommand = c.sentRequest || s.request != nil, true
-	c.startWriter()
-	evictionCancelled := c.evicted
-	c.evicted = false
-	c.mu.Unlock()
-	if evictionCancelled {
-		c.server.cancelEviction()
-	}
-}
-
-// dropPending discards all pending slots, releases the memory of their answers, and
-// returns the requests that were not answered yet.
-func (c *client) dropPending() (unanswered []*request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.pending {
-		if s.request != nil {
-			unanswered = append(unanswered, s.request)
-		}
-		c.server.loop.memory.release(answerMemory, len(s.data))
-	}
-	c.pending = nil
-	return unanswered
-}
-
 // serve reads commands until the connection is to be closed, sends the answers that
 // are still due, and closes it. It is the reader goroutine of the connection.
 func (c *client) serve() {
@@ -471,73 +404,3 @@
 	}
 	return args
 }
-
-// reply answers a command without asking a backend.
-func (c *client) reply(data []byte) {
-	c.push(&slot{data: data, filled: true})
-	c.server.loop.memory.forceReserve(answerMemory, len(data))
-	notify(c.writerWake)
-}
-
-// replyError answers an invalid command, or input that closes the connection.
-func (c *client) replyError(err error) { c.reply(redcon.AppendError(nil, "ERR "+err.Error())) }
-
-// writeLoop sends the answers in the order of their commands. It is the writer
-// goroutine of the connection, and returns when the connection is closed or, once the
-// client is closing, after the last answer, having closed the sending direction.
-func (c *client) writeLoop() {
-	defer close(c.writerDone)
-	var out []byte
-	for range c.writerWake {
-		c.mu.Lock()
-		out = out[:0]
-		n := 0
-		for n < len(c.pending) && c.pending[n].filled {
-			out = append(out, c.pending[n].data...)
-			n++
-		}
-		c.pending = c.pending[n:]
-		if c.sending = n > 0; c.sending {
-			c.lastActive = time.Now()
-		}
-		empty := len(c.pending) == 0
-		if empty {
-			c.pending = nil
-		}
-		if c.sending && c.pipelineFull {
-			c.pipelineFull = false
-			c.interruptRead()
-		}
-		finished, closed := empty && c.closing, c.closed
-		c.mu.Unlock()
-		notify(c.slotFreed)
-		if closed {
-			c.server.loop.memory.release(answerMemory, len(out))
-			return
-		}
-		if len(out) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-			_, err := c.nc.Write(out)
-			c.server.loop.memory.release(answerMemory, len(out))
-			c.mu.Lock()
-			c.sending, c.closed, c.closeErr = false, c.closed || err != nil, err
-			if (c.draining || c.evicted) && len(c.pending) == 0 && !c.closing {
-				c.interruptRead() // the connection is idle and may be closed
-			}
-			c.mu.Unlock()
-			if err != nil {
-				c.nc.Close() // makes the reader return
-				notify(c.slotFreed)
-				return
-			}
-			if cap(out) > maxMessageBytes {
-				out = nil
-			}
-		}
-		if finished {
-			c.nc.(*net.TCPConn).CloseWrite()
-			c.nc.SetReadDeadline(expiredDeadline) // wakes the reader
-			return
-		}
-	}
-}
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"strings"
 	"testing"
 
@@ -57,3 +58,52 @@
 		}
 	}
 }
+
+// Guards against memory that passes the limit: an answer that has been written must not be
+// kept by the place of a later one that is still due.
+func TestWrittenAnswersAreNotKeptBehindAnOpenRequest(t *testing.T) {
+	r := newRig(t, nil, newFakeBackend(t).member("b"))
+	f := newConnFixture(t)
+	c := newClient(r.server, f.nc)
+	before := heapInUse()
+	const answers = 100
+	first, open := &slot{}, &slot{}
+	c.push(first)
+	for range answers {
+		c.reply([]byte(longBody))
+	}
+	c.push(open)
+	c.fill(first, []byte("+first\r\n"))
+	if _, err := io.CopyN(io.Discard, f.peer, int64(len("+first\r\n")+answers*longBodyBytes)); err != nil {
+		t.Fatal(err)
+	}
+	r.eventually("the answers to be freed", func(l *loop) bool {
+		return heapInUse()-before < heapSlack && l.memory.used.Load() == 0
+	})
+	c.fill(open, []byte("+last\r\n"))
+	if got := readUnread(t, f.peer, len("+last\r\n")); got != "+last\r\n" {
+		t.Errorf("the last answer is %q", got)
+	}
+}
+
+// Guards against memory that passes the limit: a connection must not keep a buffer of the
+// size of the longest answer that it has sent.
+func TestIdleConnectionsKeepNoLongAnswer(t *testing.T) {
+	b := newFakeBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	const connections = 40
+	var clients []*fakeClient
+	for range connections {
+		c := r.dial()
+		c.send("PING") // starts the writer
+		c.wantLine("+PONG")
+		clients = append(clients, c)
+	}
+	before := heapInUse()
+	for _, c := range clients {
+		c.send("Q.ASK", testCustomer, newRequestID(), lookupOptions)
+		wait(t, "the request", b.commands).replyValue(longBody)
+		c.readLine()
+	}
+	r.eventually("the heap to shrink", func(*loop) bool { return heapInUse()-before < heapSlack })
+}
