Count answers, the buffers they are read into and the records of requests

What callers could see: an ingress that passes its memory limit.

Cause: the budget could refuse only the bytes of commands. Answers were added to it by force, read buffers for backends not at all.

Change: a slot carries what is reserved for it until its answer is written or dropped; a request reserves its records, its slot and room for a short answer when it is accepted, and the rest of a longer value is reserved when it has come. An answer that outgrows the first 4 KB of its buffer reserves the growth. Where there is no room the attempt counts as given up by the ingress (it may have run, and the backend is not at fault), so a request that must not run twice fails and others may be retried or refused. The buffer for an answer ends at 72 KB, where it used to double to 128 KB. 'memory' lines have the new use.

Tests: TestValuesOverTheMemoryLimitFail, TestLongAnswersBeingReadAreCounted, TestBufferOfLongAnswerIsReleased, TestRecordsOfShortRequestsAreCounted. TestRequestsOverTheMemoryLimitAreRefused sets its limit for one of its two requests with the records added; it admits as few as before.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -175,13 +175,14 @@
 	}
 }
 
-// MemoryUsed describes the use of memory, in bytes. The first four fields are what the
+// MemoryUsed describes the use of memory, in bytes. The first five fields are what the
 // process counts, the others what the runtime measures.
 type MemoryUsed struct {
 	Limit      int64 // of what is held for clients
 	Requests   int64 // commands of clients
 	Answers    int64 // answers that are not written yet
-	Input      int64 // read buffers
+	Input      int64 // read buffers of clients
+	Replies    int64 // read buffers of backends
 	LiveHeap   int64 // found in use by the last garbage collection
 	HeapInUse  int64 // including garbage
 	FromSystem int64 // all that the runtime has from the operating system
@@ -191,7 +192,7 @@
 func (l *Log) MemoryUsed(m MemoryUsed) {
 	if l.Detailed() {
 		l.writeDetail("memory", slog.Int64("limit", m.Limit), slog.Int64("requests", m.Requests),
-			slog.Int64("answers", m.Answers), slog.Int64("input", m.Input), slog.Int64("live_heap", m.LiveHeap),
-			slog.Int64("heap_in_use", m.HeapInUse), slog.Int64("from_system", m.FromSystem))
+			slog.Int64("answers", m.Answers), slog.Int64("input", m.Input), slog.Int64("replies", m.Replies),
+			slog.Int64("live_heap", m.LiveHeap), slog.Int64("heap_in_use", m.HeapInUse), slog.Int64("from_system", m.FromSystem))
 	}
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -377,8 +377,7 @@
 	if err != nil {
 		return err
 	}
-	budget := c.server.loop.memory
-	if !budget.reserve(requestMemory, size) {
+	if !c.server.loop.memory.reserveRequest(size) {
 		// The request has not been started, so the client may retry it. Holding
 		// more requests could run the process out of memory.
 		c.reply(c.server.busyReply())
@@ -388,7 +387,7 @@
 	timeLimit := min(cmd.timeLimit, c.server.cfg.Choice.Classes[cmd.class].Deadline)
 	r := &request{command: cmd, size: size, client: c,
 		deadline: arrivedAt.Add(timeLimit - min(maxDeadlineMargin, timeLimit/deadlineMarginDivisor))}
-	r.slot = &slot{request: r}
+	r.slot = &slot{request: r, reserved: slotOverheadBytes + shortAnswerBytes}
 	c.push(r.slot)
 	c.server.loop.post(func(l *loop) { l.startRequest(r) })
 	return nil
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -298,9 +298,11 @@
 func TestRequestsOverTheMemoryLimitAreRefused(t *testing.T) {
 	b := newFakeBackend(t)
 	r := newRig(t, nil, b.member("b"))
-	r.runOnLoop(func(l *loop) { l.memory.limit = 3000 })
-	c := r.dial()
 	body := strings.Repeat("x", 2000)
+	r.runOnLoop(func(l *loop) { // enough for one of the requests, and not for two
+		l.memory.limit = int64(3000 + requestOverheadBytes + slotOverheadBytes + shortAnswerBytes)
+	})
+	c := r.dial()
 	c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, body)
 	first := wait(t, "the request", b.commands)
 	c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, body)
--- a/internal/ingress/client_writer.go
+++ b/internal/ingress/client_writer.go
@@ -20,9 +20,10 @@
 
 // slot is the place of one answer in the sequence of answers of a connection.
 type slot struct {
-	request *request // nil once answered, and for an answer that needs no backend
-	data    []byte   // the encoded answer
-	filled  bool     // data is set
+	request  *request // nil once answered, and for an answer that needs no backend
+	data     []byte   // the encoded answer
+	filled   bool     // data is set
+	reserved int      // bytes reserved in the memory budget until the answer is written
 }
 
 // startWriter starts the writer with the first answer: most connections of
@@ -35,16 +36,18 @@
 }
 
 // fill stores the answer of a slot, and wakes the writer if it is the next to be
-// written. It does not block.
-func (c *client) fill(s *slot, data []byte) {
+// written. It does not block. reserved is what the memory budget has reserved for the
+// answer beyond shortAnswerBytes; fill takes it over.
+func (c *client) fill(s *slot, data []byte, reserved int) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
+		c.server.loop.memory.release(answerMemory, reserved)
 		return
 	}
-	c.server.loop.memory.forceReserve(answerMemory, len(data)) // released when written
 	// Answers before this one may take long, so the slot does not keep the command.
 	s.data, s.filled, s.request = data, true, nil
+	s.reserved += reserved
 	first := len(c.pending) > 0 && c.pending[0] == s
 	c.mu.Unlock()
 	if first {
@@ -77,7 +80,7 @@
 		if s.request != nil {
 			unanswered = append(unanswered, s.request)
 		}
-		c.server.loop.memory.release(answerMemory, len(s.data))
+		c.server.loop.memory.release(answerMemory, s.reserved)
 	}
 	c.pending = nil
 	return unanswered
@@ -85,8 +88,9 @@
 
 // reply answers a command without asking a backend.
 func (c *client) reply(data []byte) {
-	c.push(&slot{data: data, filled: true})
-	c.server.loop.memory.forceReserve(answerMemory, len(data))
+	s := &slot{data: data, filled: true, reserved: slotOverheadBytes + len(data)}
+	c.server.loop.memory.forceReserve(answerMemory, s.reserved)
+	c.push(s)
 	notify(c.writerWake)
 }
 
@@ -147,14 +151,14 @@
 			break
 		}
 		if len(s.data) > maxJoinedBytes {
-			batch.data, batch.reserved = s.data, len(s.data)
+			batch.data, batch.reserved = s.data, s.reserved
 			batch.more = true // the first answer, and another may follow
 			c.pending[taken] = nil
 			taken++
 			break
 		}
 		joined = append(joined, s.data...)
-		batch.data, batch.reserved = joined, len(joined)
+		batch.data, batch.reserved = joined, batch.reserved+s.reserved
 		c.pending[taken] = nil // the slots behind keep the array, which must not keep the answer
 	}
 	c.pending = c.pending[taken:]
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -264,12 +264,13 @@
 
 // reply is the answer of a backend to a request or a probe.
 type reply struct {
-	status  choice.Status
-	form    replyForm
-	value   []byte      // the value, encoded as a bulk string
-	metered bool        // used is valid
-	used    float64     // the customer's use over all gateways, see choice.Outcome.Used
-	load    choice.Load // the load report; Count is 0 if there was no valid one
+	status   choice.Status
+	form     replyForm
+	value    []byte      // the value, encoded as a bulk string
+	reserved int         // bytes reserved for the value in the memory budget
+	metered  bool        // used is valid
+	used     float64     // the customer's use over all gateways, see choice.Outcome.Used
+	load     choice.Load // the load report; Count is 0 if there was no valid one
 }
 
 // nextReply parses the first answer in buf to a request, and returns its length n, which
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +23,10 @@
 	partialAnswerTimeout = 150 * time.Millisecond
 )
 
+// errNoReplyMemory means that an answer is given up because it is long and the memory budget
+// has no room for it.
+var errNoReplyMemory = errors.New("no memory is left for the answer")
+
 // expiredDeadline is a deadline in the past. It ends pending I/O on a connection at once.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -189,6 +192,7 @@
 // detects that an idle connection was closed or has been idle for too long.
 func (c *conn) readAnswers() {
 	buf := make([]byte, 0, readBufferBytes)
+	defer func() { c.pool.memory.release(replyMemory, cap(buf)-readBufferBytes) }()
 	for {
 		n, a, err := c.read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -207,11 +211,9 @@
 				answer = reply{status: a.unsentStatus(), form: answer.form}
 			}
 			if parseErr == nil && parsed > 0 {
+				c.reserveValue(&answer)
 				if err == nil && a.fullyWritten && parsed == len(buf) && c.makeIdle(a) {
-					buf = buf[:0]
-					if cap(buf) > readBufferBytes {
-						buf = make([]byte, 0, readBufferBytes)
-					}
+					buf = c.resetBuffer(buf)
 					a.finish(answer, c)
 					continue
 				}
@@ -221,8 +223,8 @@
 			}
 			if parseErr != nil {
 				err = parseErr
-			} else if len(buf) == cap(buf) {
-				buf = slices.Grow(buf, len(buf))
+			} else if len(buf) == cap(buf) && err == nil {
+				buf, err = c.growBuffer(buf)
 			}
 		}
 		if err == nil {
@@ -250,7 +252,7 @@
 			status = choice.Error
 		}
 		// Closed before the outcome is reported: a second attempt must not overlap.
-		c.close(status.String())
+		c.close(cmp.Or(closeReason(err), status.String()))
 		form := formNone
 		if errors.Is(err, errMalformed) || errors.Is(err, errTooLong) {
 			form = formMalformed
@@ -260,6 +262,48 @@
 	}
 }
 
+// reserveValue reserves memory for the value of an answer. If there is none, the attempt
+// counts as given up by the ingress: the backend is not at fault.
+func (c *conn) reserveValue(answer *reply) {
+	size := max(0, len(answer.value)-shortAnswerBytes)
+	if !c.pool.memory.reserve(answerMemory, size) {
+		*answer = reply{status: choice.Cancelled, form: answer.form}
+		return
+	}
+	answer.reserved = size
+}
+
+// growBuffer returns a larger buffer with the same content, or an error if the answer is
+// too long or there is no memory for it.
+func (c *conn) growBuffer(buf []byte) ([]byte, error) {
+	size := min(2*cap(buf), maxMessageBytes+readBufferBytes)
+	switch {
+	case size == cap(buf):
+		return buf, errTooLong
+	case !c.pool.memory.reserve(replyMemory, size-cap(buf)):
+		return buf, errNoReplyMemory
+	}
+	return append(make([]byte, 0, size), buf...), nil
+}
+
+// resetBuffer returns an empty buffer of the initial size.
+func (c *conn) resetBuffer(buf []byte) []byte {
+	if cap(buf) == readBufferBytes {
+		return buf[:0]
+	}
+	c.pool.memory.release(replyMemory, cap(buf)-readBufferBytes)
+	return make([]byte, 0, readBufferBytes)
+}
+
+// closeReason returns the logged reason for which a connection is closed after a failure of
+// its own, and "" for any other error.
+func closeReason(err error) string {
+	if errors.Is(err, errNoReplyMemory) {
+		return err.Error()
+	}
+	return ""
+}
+
 // idleCloseReason returns the logged reason for which an idle connection is closed.
 func idleCloseReason(n int, err error) string {
 	switch {
@@ -278,7 +322,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case a.aborted:
+	case a.aborted, errors.Is(err, errNoReplyMemory):
 		return choice.Cancelled
 	case errors.Is(err, errMalformed), errors.Is(err, errTooLong):
 		return choice.Error // the backend is up and has executed the request
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -323,7 +323,7 @@
 	t.Cleanup(func() { nc.Close(); peer.Close() })
 	peer.SetDeadline(time.Now().Add(testTimeout))
 	f := &connFixture{peer: peer, outcomes: make(chan choice.Status, 1)}
-	p := newPool(&cfg, func(_ *attempt, r reply, _ time.Duration, _ *conn) { f.outcomes <- r.status }, func(*conn) {})
+	p := newPool(&cfg, &memoryBudget{limit: 1 << 30}, func(_ *attempt, r reply, _ time.Duration, _ *conn) { f.outcomes <- r.status }, func(*conn) {})
 	f.conn = &conn{nc: nc, backend: &backend{id: 1, addr: ln.Addr().String()}, pool: p}
 	return f
 }
--- a/internal/ingress/log_test.go
+++ b/internal/ingress/log_test.go
@@ -77,6 +77,6 @@
 	r := newRig(t, func(cfg *Config) { cfg.Log = eventlog.New(&log, true) }, b.member("s-1"))
 	r.dial().send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
 	wait(t, "the request", b.commands)
-	want := regexp.MustCompile(`memory limit=33554432 requests=[1-9]\d* answers=0 input=0 live_heap=\d+ heap_in_use=\d+ from_system=\d+`)
+	want := regexp.MustCompile(`memory limit=33554432 requests=[1-9]\d* answers=[1-9]\d* input=0 replies=0 live_heap=\d+ heap_in_use=\d+ from_system=\d+`)
 	r.eventually("a line about the memory of a request", func(*loop) bool { return want.MatchString(log.String()) })
 }
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -59,7 +59,7 @@
 type request struct {
 	*command
 	id       uint32 // identifies the request in the gateway, unlike the client's 64-bit requestID
-	size     int    // bytes reserved in the memory budget
+	size     int    // of its command, in bytes
 	client   *client
 	slot     *slot
 	deadline time.Time
@@ -81,7 +81,7 @@
 		longestDeadline = max(longestDeadline, c.Deadline)
 	}
 	l.recentIDs.retention = longestDeadline + requestIDMargin
-	l.pool = newPool(cfg,
+	l.pool = newPool(cfg, l.memory,
 		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
 			l.post(func(l *loop) { l.handleAttemptEnd(a, r, elapsed, c) })
 		},
@@ -136,7 +136,7 @@
 		// else, who must not receive the value of the earlier one.
 		r.client.invalidCommands.Add(1)
 		l.logFinished(r, "failed", "the id is in use", 0)
-		l.answer(r, redcon.AppendError(nil, "ERR the request id is in use"))
+		l.answer(r, redcon.AppendError(nil, "ERR the request id is in use"), 0)
 		l.removeIfDone(r)
 		return
 	}
@@ -182,7 +182,7 @@
 func (l *loop) removeIfDone(r *request) {
 	if r.finished && r.inFlight == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
-		l.memory.release(requestMemory, r.size)
+		l.memory.releaseRequest(r.size)
 	}
 }
 
@@ -226,7 +226,7 @@
 	}
 	if answer.status == choice.OK {
 		l.logFinished(r, "served", a.backend.name, 0)
-		l.answer(r, answer.value)
+		l.answer(r, answer.value, answer.reserved)
 	}
 	l.gateway.Outcome(l.now(), choice.Outcome{
 		ID: r.id, Attempt: a.number, Backend: a.backend.id, Status: answer.status, Elapsed: elapsed,
@@ -244,13 +244,15 @@
 	}
 }
 
-// answer finishes a request with its final answer. Further answers are dropped.
-func (l *loop) answer(r *request, data []byte) {
+// answer finishes a request with its final answer, for which the memory budget has
+// reserved the given bytes beyond shortAnswerBytes. Further answers are dropped.
+func (l *loop) answer(r *request, data []byte, reserved int) {
 	if r == nil || r.finished {
+		l.memory.release(answerMemory, reserved)
 		return
 	}
 	l.finish(r)
-	r.client.fill(r.slot, data)
+	r.client.fill(r.slot, data, reserved)
 }
 
 // finish marks a request as finished. Attempts that are not yet written to a backend are
@@ -376,7 +378,7 @@
 // Refuse answers that the client may safely retry the request, after the given time.
 func (l *loop) Refuse(id uint32, retryAfter time.Duration, reason choice.Reason) {
 	l.logFinished(l.requests[id], "refused", reason.String(), retryAfter)
-	l.answer(l.requests[id], busyReply(retryAfter))
+	l.answer(l.requests[id], busyReply(retryAfter), 0)
 }
 
 // busyReply returns the encoded BUSY answer, which tells the client that it may safely
@@ -392,7 +394,7 @@
 // Fail answers with an error, which does not promise that a retry is safe.
 func (l *loop) Fail(id uint32, reason choice.Reason) {
 	l.logFinished(l.requests[id], "failed", reason.String(), 0)
-	l.answer(l.requests[id], redcon.AppendError(nil, "ERR failed"))
+	l.answer(l.requests[id], redcon.AppendError(nil, "ERR failed"), 0)
 }
 
 // Cancel aborts an attempt. Its outcome is reported like that of any other attempt.
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -19,11 +19,25 @@
 	requestMemory memoryUse = iota // commands that were started and are not done with
 	answerMemory                   // answers that are not written yet
 	inputMemory                    // read buffers of clients beyond their initial size
+	replyMemory                    // read buffers of backends beyond their initial size
 	memoryUses
 )
 
-// memoryBudget counts the bytes that are held for clients. Requests over the limit are
-// refused: holding them could run the process out of memory.
+// What is reserved for a command besides its own bytes.
+const (
+	// requestOverheadBytes is the size of the records of an open request.
+	requestOverheadBytes = 1024
+	// slotOverheadBytes is the size of the place of an answer.
+	slotOverheadBytes = 128
+	// shortAnswerBytes is reserved together with a request, so that a short answer never
+	// lacks memory.
+	shortAnswerBytes = 512
+)
+
+// memoryBudget counts the bytes that are held for clients, from when they are taken until
+// they are freed. Requests over the limit are refused, and long answers over it fail:
+// holding them could run the process out of memory. What each connection needs at least is
+// not counted, since the number of connections is limited.
 type memoryBudget struct {
 	limit  int64
 	used   atomic.Int64
@@ -31,8 +45,11 @@
 }
 
 // reserve adds n bytes, unless that would exceed the limit. It reports whether it has
-// added them.
+// added them, which is always so for none.
 func (m *memoryBudget) reserve(use memoryUse, n int) bool {
+	if n == 0 {
+		return true
+	}
 	if m.used.Add(int64(n)) > m.limit {
 		m.used.Add(-int64(n))
 		return false
@@ -41,6 +58,25 @@
 	return true
 }
 
+// reserveRequest reserves what a request with a command of the given size needs until it is
+// done with, and its slot until its answer is written. It reports whether it has reserved
+// both.
+func (m *memoryBudget) reserveRequest(size int) bool {
+	if !m.reserve(requestMemory, size+requestOverheadBytes) {
+		return false
+	}
+	if !m.reserve(answerMemory, slotOverheadBytes+shortAnswerBytes) {
+		m.releaseRequest(size)
+		return false
+	}
+	return true
+}
+
+// releaseRequest returns what was reserved for a request, without its slot.
+func (m *memoryBudget) releaseRequest(size int) {
+	m.release(requestMemory, size+requestOverheadBytes)
+}
+
 // forceReserve adds n bytes even over the limit, for data that can no longer be refused.
 func (m *memoryBudget) forceReserve(use memoryUse, n int) {
 	m.used.Add(int64(n))
@@ -73,6 +109,7 @@
 			Requests:   m.usedBy[requestMemory].Load(),
 			Answers:    m.usedBy[answerMemory].Load(),
 			Input:      m.usedBy[inputMemory].Load(),
+			Replies:    m.usedBy[replyMemory].Load(),
 			LiveHeap:   int64(samples[0].Value.Uint64()),
 			HeapInUse:  int64(samples[1].Value.Uint64()),
 			FromSystem: int64(samples[2].Value.Uint64()),
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -1,9 +1,13 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
+	"unsafe"
 
 	"cedarseam/choice"
 )
@@ -73,14 +77,14 @@
 		c.reply([]byte(longBody))
 	}
 	c.push(open)
-	c.fill(first, []byte("+first\r\n"))
+	c.fill(first, []byte("+first\r\n"), 0)
 	if _, err := io.CopyN(io.Discard, f.peer, int64(len("+first\r\n")+answers*longBodyBytes)); err != nil {
 		t.Fatal(err)
 	}
 	r.eventually("the answers to be freed", func(l *loop) bool {
 		return heapInUse()-before < heapSlack && l.memory.used.Load() == 0
 	})
-	c.fill(open, []byte("+last\r\n"))
+	c.fill(open, []byte("+last\r\n"), 0)
 	if got := readUnread(t, f.peer, len("+last\r\n")); got != "+last\r\n" {
 		t.Errorf("the last answer is %q", got)
 	}
@@ -107,3 +111,131 @@
 	}
 	r.eventually("the heap to shrink", func(*loop) bool { return heapInUse()-before < heapSlack })
 }
+
+// Guards against memory that passes the limit: values that wait for a slow answer before
+// them are held only as far as the budget has room. The others fail, since they have run.
+func TestValuesOverTheMemoryLimitFail(t *testing.T) {
+	for _, c := range []struct {
+		valueBytes        int
+		limit, heldAtMost int
+	}{
+		{longBodyBytes, 200_000, 3},
+		{3500, 20_000, 5}, // fits into the initial read buffer
+	} {
+		t.Run(fmt.Sprint(c.valueBytes, " bytes"), func(t *testing.T) {
+			testValuesOverTheMemoryLimit(t, longBody[:c.valueBytes], c.limit, c.heldAtMost)
+		})
+	}
+}
+
+func testValuesOverTheMemoryLimit(t *testing.T, value string, limit, heldAtMost int) {
+	b := newFakeBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	const requests = 6
+	r.runOnLoop(func(l *loop) { l.memory.limit = int64(limit) })
+	c := r.dial()
+	c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+	slow := wait(t, "the slow request", b.commands)
+	before := heapInUse()
+	for i := range requests {
+		c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+		wait(t, "a request", b.commands).replyValue(value)
+		r.waitForAnyClient("its answer", func(c *client) bool { return len(c.pending) == i+2 && c.pending[i+1].filled })
+		if used := r.server.loop.memory.used.Load(); used > int64(limit) {
+			t.Fatalf("%d bytes are counted, over the limit of %d", used, limit)
+		}
+	}
+	if grown := heapInUse() - before; grown > int64(limit+heapSlack) {
+		t.Errorf("the heap has grown by %d KB, with a limit of %d KB", grown>>10, limit>>10)
+	}
+	slow.replyValue("v")
+	c.wantLine("$1\r\nv")
+	held := 0
+	for range requests {
+		if got := c.readLine(); strings.HasPrefix(got, "$") {
+			held++
+		} else if got != "-ERR failed" {
+			t.Errorf("a request without room for its value is answered %q, want -ERR failed", got)
+		}
+	}
+	if held == 0 || held > heldAtMost {
+		t.Errorf("%d values are held, want 1 to %d", held, heldAtMost)
+	}
+	r.eventually("the memory to be released", func(l *loop) bool { return l.memory.used.Load() == 0 })
+}
+
+// Guards against memory that passes the limit: the part of a long answer that a backend has
+// sent is counted, and given up if there is no room for it.
+func TestLongAnswersBeingReadAreCounted(t *testing.T) {
+	f := newConnFixture(t)
+	f.pool.memory.limit = longBodyBytes / 2
+	a := f.newAttempt(t)
+	f.send(a)
+	readerDone := make(chan struct{})
+	go func() {
+		f.readAnswers()
+		close(readerDone)
+	}()
+	half := longBody[:longBodyBytes/4]
+	fmt.Fprintf(f.peer, "*3\r\n$%d\r\n%s", longBodyBytes, half)
+	counted := f.pool.memory.usedBy[replyMemory].Load
+	for end := time.Now().Add(testTimeout); counted() < int64(len(half)-readBufferBytes); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are counted for the %d that were sent", counted(), len(half))
+		}
+	}
+	fmt.Fprint(f.peer, longBody[len(half):])
+	f.wantStatus(t, choice.Cancelled)
+	<-readerDone
+	if used := f.pool.memory.used.Load(); used != 0 {
+		t.Errorf("%d bytes are still counted", used)
+	}
+}
+
+// The buffer of a long answer is given back when the answer is whole, and the value is
+// counted in its place.
+func TestBufferOfLongAnswerIsReleased(t *testing.T) {
+	f := newConnFixture(t)
+	a := f.newAttempt(t)
+	f.send(a)
+	go f.readAnswers()
+	fmt.Fprintf(f.peer, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", longBodyBytes, longBody)
+	f.wantStatus(t, choice.OK)
+	memory := f.pool.memory
+	if got := memory.usedBy[replyMemory].Load(); got != 0 {
+		t.Errorf("%d bytes of buffers are still counted", got)
+	}
+	if got := memory.usedBy[answerMemory].Load(); got < longBodyBytes-shortAnswerBytes || got > longBodyBytes {
+		t.Errorf("%d bytes are counted for a value of %d", got, longBodyBytes)
+	}
+}
+
+// Guards against memory that passes the limit: the records of a short request are larger
+// than its command.
+func TestRecordsOfShortRequestsAreCounted(t *testing.T) {
+	records := unsafe.Sizeof(request{}) + unsafe.Sizeof(command{}) + unsafe.Sizeof(attempt{}) +
+		maxArgs*unsafe.Sizeof([]byte{})
+	if records > requestOverheadBytes {
+		t.Errorf("the records of a request take %d bytes, and %d are counted", records, requestOverheadBytes)
+	}
+	if size := unsafe.Sizeof(slot{}); size > slotOverheadBytes {
+		t.Errorf("a slot takes %d bytes, and %d are counted", size, slotOverheadBytes)
+	}
+	b := newFakeBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	const fitting = 3
+	command := encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+	r.runOnLoop(func(l *loop) {
+		l.memory.limit = fitting * int64(len(command)+requestOverheadBytes+slotOverheadBytes+shortAnswerBytes)
+	})
+	c := r.dial()
+	for range fitting {
+		c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+		defer wait(t, "a request", b.commands).replyValue("v")
+	}
+	c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+	r.waitForAnyClient("the last answer", func(c *client) bool {
+		return len(c.pending) == fitting+1 && c.pending[fitting].filled
+	})
+	wantNone(t, "a request over the limit", b.commands)
+}
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -28,9 +28,10 @@
 
 // pool holds the backends and the idle connections to them. Only the goroutine of the
 // loop calls its methods. Attempts and connections, which run on goroutines of their
-// own, use the configuration, the dialer, openConns and the callbacks.
+// own, use the configuration, the memory budget, the dialer, openConns and the callbacks.
 type pool struct {
 	cfg          *Config
+	memory       *memoryBudget
 	onAttemptEnd func(a *attempt, r reply, elapsed time.Duration, c *conn) // c is nil unless it can be reused
 	onIdleClose  func(*conn)                                               // an idle connection has closed
 	dialer       net.Dialer
@@ -60,10 +61,11 @@
 // newPool returns an empty pool. The callbacks are called by the goroutines of
 // connections.
 func newPool(
-	cfg *Config, onAttemptEnd func(*attempt, reply, time.Duration, *conn), onIdleClose func(*conn),
+	cfg *Config, memory *memoryBudget, onAttemptEnd func(*attempt, reply, time.Duration, *conn),
+	onIdleClose func(*conn),
 ) *pool {
 	return &pool{
-		cfg: cfg, onAttemptEnd: onAttemptEnd, onIdleClose: onIdleClose,
+		cfg: cfg, memory: memory, onAttemptEnd: onAttemptEnd, onIdleClose: onIdleClose,
 		dialer: net.Dialer{Timeout: cfg.connectTimeout},
 		byName: map[string]*backend{}, byID: map[uint32]*backend{}, idleConns: list.New(),
 	}
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -37,7 +37,7 @@
 // changes of backends and connections.
 func TestPoolCountersMatchRecount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := newPool(&Config{}, nil, nil)
+		p := newPool(&Config{}, nil, nil, nil)
 		var conns []*conn
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			name := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "backend"))
@@ -71,7 +71,7 @@
 
 // The connection that has been idle for longest is evicted, whichever backend it is to.
 func TestEvictIdleClosesLongestIdleConnection(t *testing.T) {
-	p := newPool(&Config{}, nil, nil)
+	p := newPool(&Config{}, nil, nil, nil)
 	var conns []*conn
 	for i := range 3 {
 		m := &membership.Member{ID: fmt.Sprint(i), HostPort: fmt.Sprint("a:", i)}
@@ -102,7 +102,7 @@
 	listener.(*net.TCPListener).SetDeadline(time.Now().Add(testTimeout))
 	cfg := &Config{Limits: Limits{Sockets: reservedSockets + 200}}
 	outcomes := make(chan choice.Status, 1)
-	p := newPool(cfg, func(_ *attempt, r reply, _ time.Duration, _ *conn) { outcomes <- r.status }, func(*conn) {})
+	p := newPool(cfg, &memoryBudget{limit: 1 << 30}, func(_ *attempt, r reply, _ time.Duration, _ *conn) { outcomes <- r.status }, func(*conn) {})
 	for i := range 2 {
 		p.updateMember(&membership.Member{ID: fmt.Sprint(i), HostPort: listener.Addr().String(), Phase: membership.PhaseServing}, choice.Ready)
 	}
