Bound the number of arrival times that are kept for unread commands

What callers could see: memory that grows for as long as a client sends single bytes while its commands wait, 3 KB a second for each connection, not counted.

Cause: arrivals kept one mark for each 10 ms in which bytes came, and cut consumed marks off the front of an array that went on growing.

Change: at most 256 marks. Bytes beyond count as arrived with the last mark, so that the deadline of their command is too early, never too late. Consumed marks are overwritten.

Test: TestArrivalMarksAreBoundedInNumber.

--- a/internal/ingress/arrivals.go
+++ b/internal/ingress/arrivals.go
@@ -7,6 +7,11 @@
 // small. A deadline may therefore be too early by at most this much.
 const arrivalResolution = 10 * time.Millisecond
 
+// maxArrivalMarks is how many marks are kept at most. Bytes that arrive after that count as
+// having arrived with the last mark, so the deadline of their request is too early: a client
+// that sends single bytes for seconds must not make the marks grow.
+const maxArrivalMarks = 256
+
 // arrivals records when the bytes arrived that were read and not yet parsed into
 // commands. The deadline of a request counts from the arrival of its last byte, no
 // matter how long its start is delayed or what arrives after it.
@@ -25,7 +30,8 @@
 // add records the arrival of further bytes.
 func (a *arrivals) add(bytes int, at time.Time) {
 	a.received += bytes
-	if last := len(a.marks) - 1; last >= 0 && at.Sub(a.marks[last].at) < arrivalResolution {
+	if last := len(a.marks) - 1; last >= 0 &&
+		(at.Sub(a.marks[last].at) < arrivalResolution || len(a.marks) >= maxArrivalMarks) {
 		a.marks[last].end = a.received
 		return
 	}
@@ -43,8 +49,8 @@
 	at = a.marks[first].at
 	if a.consumed == a.received {
 		a.marks = a.marks[:0]
-	} else {
-		a.marks = a.marks[first:]
+	} else if first > 0 { // in place, so that the array does not grow
+		a.marks = append(a.marks[:0], a.marks[first:]...)
 	}
 	return at
 }
--- a/internal/ingress/arrivals_test.go
+++ b/internal/ingress/arrivals_test.go
@@ -40,3 +40,27 @@
 		t.Errorf("%d marks are kept for one second, want %d at most", len(a.marks), most)
 	}
 }
+
+// Guards against memory that grows with time: a client that sends single bytes while its
+// commands wait for a slot must not make the marks grow without bound. A mark that is left
+// out makes a deadline earlier, never later.
+func TestArrivalMarksAreBoundedInNumber(t *testing.T) {
+	const seconds = 60
+	var a arrivals
+	start := time.Now()
+	bytes := seconds * int(time.Second/arrivalResolution)
+	for i := range bytes {
+		a.add(1, start.Add(time.Duration(i)*arrivalResolution))
+	}
+	if len(a.marks) > maxArrivalMarks {
+		t.Errorf("%d marks are kept after %d s, want %d at most", len(a.marks), seconds, maxArrivalMarks)
+	}
+	for i := range bytes {
+		if at := a.consume(1); at.After(start.Add(time.Duration(i) * arrivalResolution)) {
+			t.Fatalf("byte %d counts as arrived %v after it came", i, at.Sub(start)-time.Duration(i)*arrivalResolution)
+		}
+	}
+	if cap(a.marks) > 2*maxArrivalMarks {
+		t.Errorf("the array has grown to %d marks", cap(a.marks))
+	}
+}
