Log how long commands wait before they start, and what the wait was for

The log had no time of a command before it was started, so it could not tell a late start from a late attempt, a slow loop or a retry.

Change: 'request taken' carries the time from the arrival of the last byte until the start and from there until the loop, and 'commands blocked' describes each wait of a reader that does not read: its reason, its length, and whether the client has gone by its end.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -96,6 +96,24 @@
 	}
 }
 
+// CommandsBlocked describes a wait of a connection during which no command is started and
+// none is read.
+type CommandsBlocked struct {
+	Client       uint64
+	Reason       string
+	Waited       time.Duration
+	Buffered     int  // bytes that were read and not started
+	Disconnected bool // the client has disconnected, by the state of the connection after the wait
+}
+
+// CommandsBlocked writes the end of a wait of a connection.
+func (l *Log) CommandsBlocked(b CommandsBlocked) {
+	if l.Detailed() {
+		l.writeDetail("commands blocked", slog.Uint64("client", b.Client), slog.String("reason", b.Reason),
+			milliseconds("waited_ms", b.Waited), slog.Int("buffered", b.Buffered), slog.Bool("disconnected", b.Disconnected))
+	}
+}
+
 // RequestReceived describes a request that was read completely.
 type RequestReceived struct {
 	Request  uint64
@@ -103,13 +121,16 @@
 	Class    int
 	Customer uint64
 	TimeLeft time.Duration // until its final answer is due
+	Unread   time.Duration // from the arrival of its last byte until it was started
+	Queued   time.Duration // from then until the loop handled it
 }
 
 // RequestReceived writes that a request was received.
 func (l *Log) RequestReceived(r RequestReceived) {
 	if l.Detailed() {
 		l.writeDetail("request taken", requestID(r.Request), slog.Uint64("client", r.Client), slog.Int("class", r.Class),
-			slog.String("customer", fmt.Sprintf("%016x", r.Customer)), milliseconds("left_ms", r.TimeLeft))
+			slog.String("customer", fmt.Sprintf("%016x", r.Customer)), milliseconds("left_ms", r.TimeLeft),
+			milliseconds("unread_ms", r.Unread), milliseconds("queued_ms", r.Queued))
 	}
 }
 
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"cedarseam/internal/eventlog"
 )
 
 const (
@@ -261,11 +263,19 @@
 // waitUnblocked waits, without reading, until a command may be started again. It
 // returns false if the client disconnects before a slot is free.
 func (c *client) waitUnblocked(in *input) bool {
+	begin, reason := time.Now(), "delay after an invalid command"
+	disconnected := false
 	if in.pipelineFull {
-		return !peerClosedBefore(c, c.slotFreed)
+		reason = "full pipeline"
+		disconnected = peerClosedBefore(c, c.slotFreed)
+	} else {
+		time.Sleep(time.Until(in.blockedUntil))
+	}
+	if log := c.server.cfg.Log; log.Detailed() {
+		log.CommandsBlocked(eventlog.CommandsBlocked{Client: c.id, Reason: reason, Waited: time.Since(begin),
+			Buffered: len(in.buf), Disconnected: disconnected || peerClosed(c.nc)})
 	}
-	time.Sleep(time.Until(in.blockedUntil))
-	return true
+	return !disconnected
 }
 
 // resizeBuffer returns a buffer that holds the remaining bytes of buf and has room
@@ -385,7 +395,7 @@
 	}
 	cmd.args = copyArgs(args, size)
 	timeLimit := min(cmd.timeLimit, c.server.cfg.Choice.Classes[cmd.class].Deadline)
-	r := &request{command: cmd, size: size, client: c,
+	r := &request{command: cmd, size: size, client: c, arrived: arrivedAt, started: time.Now(),
 		deadline: arrivedAt.Add(timeLimit - min(maxDeadlineMargin, timeLimit/deadlineMarginDivisor))}
 	r.slot = &slot{request: r, reserved: slotOverheadBytes + shortAnswerBytes}
 	c.push(r.slot)
--- a/internal/ingress/log_test.go
+++ b/internal/ingress/log_test.go
@@ -51,7 +51,7 @@
 	})
 	for _, want := range []string{
 		`client opened" client=\d+`,
-		fmt.Sprintf(`request taken" request=%s client=\d+ class=0 customer=%s left_ms=19\d+`,
+		fmt.Sprintf(`request taken" request=%s client=\d+ class=0 customer=%s left_ms=19\d+\.?\d* unread_ms=[\d.]+ queued_ms=[\d.]+`,
 			testRequestID, testCustomer),
 		fmt.Sprintf(`attempt sent" request=%s attempt=0 backend=s-1 kind=first`, testRequestID),
 		fmt.Sprintf(`attempt ended" request=%s attempt=0 backend=s-1 status=refused answer="error line" value_bytes=0`, testRequestID),
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -63,6 +63,8 @@
 	client   *client
 	slot     *slot
 	deadline time.Time
+	arrived  time.Time  // when its last byte arrived
+	started  time.Time  // when its client's reader started it
 	finished bool       // has its final answer, or the client has disconnected
 	attempts []*attempt // all attempts so far, indexed by their number
 	inFlight int        // attempts that have not ended
@@ -142,7 +144,8 @@
 	}
 	timeLeft := time.Until(r.deadline)
 	l.cfg.Log.RequestReceived(eventlog.RequestReceived{Request: r.requestID, Client: r.client.id,
-		Class: r.class, Customer: r.customer, TimeLeft: timeLeft})
+		Class: r.class, Customer: r.customer, TimeLeft: timeLeft,
+		Unread: r.started.Sub(r.arrived), Queued: time.Since(r.started)})
 	l.gateway.Request(now, choice.Request{
 		ID: r.id, Class: r.class, Plan: r.plan, Customer: r.customer, TimeLeft: timeLeft,
 		Units: r.units, SetSize: r.spread, SetStart: r.first, ClientRetry: r.repeat,
