Look for the client's close during the delay after an invalid command

Cause: with a full read buffer, waitUnblocked slept until the delay after an invalid command was over. Unread bytes hide the end of the stream, and the sleep did not look at the state of the connection; up to six delays add up. Ruled out: the loop (1.4 ms), retries and hedges (none), and a close that the system does not show (it did, at the end of the first wait).

Change: the wait polls the state as the wait for a full pipeline does.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -261,15 +261,15 @@
 }
 
 // waitUnblocked waits, without reading, until a command may be started again. It
-// returns false if the client disconnects before a slot is free.
+// returns false if the client disconnects first.
 func (c *client) waitUnblocked(in *input) bool {
 	begin, reason := time.Now(), "delay after an invalid command"
-	disconnected := false
+	var disconnected bool
 	if in.pipelineFull {
 		reason = "full pipeline"
 		disconnected = peerClosedBefore(c, c.slotFreed)
 	} else {
-		time.Sleep(time.Until(in.blockedUntil))
+		disconnected = peerClosedBefore(c, time.After(time.Until(in.blockedUntil)))
 	}
 	if log := c.server.cfg.Log; log.Detailed() {
 		log.CommandsBlocked(eventlog.CommandsBlocked{Client: c.id, Reason: reason, Waited: time.Since(begin),
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -597,6 +597,28 @@
 	}
 }
 
+// Guards against attempts for a client that has gone: a reader whose buffer is full notices
+// the close behind the unread bytes in each of its waits.
+func TestBlockedReaderNoticesCloseBehindUnreadBytes(t *testing.T) {
+	for name, in := range map[string]input{
+		"delay after an invalid command": {blockedUntil: time.Now().Add(time.Hour)},
+		"full pipeline":                  {pipelineFull: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil, newFakeBackend(t).member("b"))
+			f := newConnFixture(t)
+			c := newClient(r.server, f.nc)
+			fmt.Fprint(f.peer, "unread")
+			waitDone := make(chan bool, 1)
+			go func() { waitDone <- c.waitUnblocked(&in) }()
+			f.peer.Close()
+			if wait(t, "the end of the wait", waitDone) {
+				t.Error("commands are started for a client that has disconnected")
+			}
+		})
+	}
+}
+
 // Events posted before the loop stops are still handled: otherwise the attempt of the
 // last client that disconnects would go on at its backend.
 func TestLoopHandlesQueuedEventsBeforeStopping(t *testing.T) {
