Look whether a client is there before its commands are started

What callers could see: attempts for a client that has gone. A command may have waited in the listener's backlog, or behind a full pipeline, for longer than its client did.

Cause: the reader learnt of a close from the end of the stream, which comes behind the commands, or after 40 ms of one wait.

Change: before commands are started the state of the connection is read, at most once in 40 ms for each connection.

Test: TestCommandsOfDisconnectedClientAreNotStarted, for first commands, commands behind a wait and behind a freed slot. Without the look both commands were started in each.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -176,6 +176,7 @@
 	completeBy   time.Time // when the next command has to be complete; zero: no limit
 	blockedUntil time.Time // no command is started before this time
 	pipelineFull bool      // no command is started until the writer has freed a slot
+	checkedAt    time.Time // when the client was last seen to be connected
 }
 
 // readCommands reads and starts commands as they arrive, and returns the reason why
@@ -314,6 +315,9 @@
 		if blocked {
 			break
 		}
+		if c.hasDisconnected(in) {
+			return false, errClientDisconnected
+		}
 		args, n, err := nextCommand(buf)
 		if err != nil {
 			return false, err
--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -140,6 +140,18 @@
 	}
 }
 
+// hasDisconnected reports whether the client has disconnected. It looks at most once in
+// peerCloseCheckInterval, and is called before commands are started: they may have waited,
+// in the socket or in the listener's backlog, for longer than their client did.
+func (c *client) hasDisconnected(in *input) bool {
+	now := time.Now()
+	if now.Sub(in.checkedAt) < peerCloseCheckInterval {
+		return false
+	}
+	in.checkedAt = now
+	return peerClosed(c.nc)
+}
+
 // peerClosed reports whether the peer has closed the connection, even if unread bytes
 // precede the end of the stream.
 func peerClosed(nc net.Conn) bool {
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -619,6 +620,36 @@
 	}
 }
 
+// Guards against attempts for a client that has gone: commands that are read late, from the
+// listener's backlog or behind other commands, are not started if their client has closed
+// the connection in the meantime.
+func TestCommandsOfDisconnectedClientAreNotStarted(t *testing.T) {
+	for name, lastSeen := range map[string]time.Time{
+		"first commands":               {},
+		"commands behind a wait":       time.Now().Add(-peerCloseCheckInterval),
+		"commands behind a freed slot": time.Now().Add(-time.Hour),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil, newFakeBackend(t).member("b"))
+			f := newConnFixture(t)
+			c := newClient(r.server, f.nc)
+			fmt.Fprint(f.peer, "unread")
+			f.peer.Close()
+			for !peerClosed(f.nc) { // until the close has arrived
+				runtime.Gosched()
+			}
+			in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY") + encode("PING"))
+			in.checkedAt = lastSeen
+			if _, err := c.startCommands(&in); !errors.Is(err, errClientDisconnected) {
+				t.Errorf("the reader goes on, error %v", err)
+			}
+			if c.answers > 0 {
+				t.Errorf("%d commands are started", c.answers)
+			}
+		})
+	}
+}
+
 // Events posted before the loop stops are still handled: otherwise the attempt of the
 // last client that disconnects would go on at its backend.
 func TestLoopHandlesQueuedEventsBeforeStopping(t *testing.T) {
