Go on reading while no command may be started, and refuse what has no room

Cause: with a full pipeline, or in the delay after an invalid command, the reader stopped when its 72 KB were full. Bytes beyond stayed in the socket: they had no time of arrival, and when the buffers of both hosts were full a close did not arrive at all. The same held after malformed input while requests were open.

Change: when the buffer is full, the commands in it are refused in their order, with advice, and reading goes on. A connection may have 1,024 answers due, all within the memory budget; beyond that it is closed with an error. After input that can't be understood, what still comes is dropped while requests are open. At the end of reading of a shutdown nothing changes: what is unread stays unread.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -25,6 +25,9 @@
 	// maxPipelinedCommands is how many commands of a connection may be unanswered
 	// at a time.
 	maxPipelinedCommands = 128
+	// maxPendingAnswers is how many answers of a connection may be due, with those to commands
+	// that were refused because too many were unanswered.
+	maxPendingAnswers = 1024
 	// firstCommandTimeout is how long a new connection may take to send its first
 	// command.
 	firstCommandTimeout = 2200 * time.Millisecond
@@ -48,6 +51,7 @@
 	errFirstCommandTimeout    = errors.New("no command came in time")
 	errPartialCommandTimeout  = errors.New("the command did not become whole in time")
 	errTooManyInvalidCommands = errors.New("too many wrong commands")
+	errTooManyCommands        = errors.New("too many commands without an answer")
 	errNoMemory               = errors.New("no memory is left for the command")
 	errServerClose            = errors.New("the connection accepts no further commands")
 	errEvicted                = fmt.Errorf("%w: evicted while idle to make room for a new connection", errServerClose)
@@ -152,12 +156,12 @@
 	case errors.Is(err, errClientDisconnected):
 	case errors.Is(err, errIncompleteCommand):
 		c.reply(c.server.busyReply())
-		c.flushAndLinger()
+		c.flushAndLinger(false)
 	case errors.Is(err, errServerClose):
-		c.flushAndLinger()
+		c.flushAndLinger(false)
 	default:
 		c.replyError(err)
-		c.flushAndLinger()
+		c.flushAndLinger(true)
 	}
 	c.logClose(err)
 	c.nc.Close()
@@ -180,8 +184,8 @@
 }
 
 // readCommands reads and starts commands as they arrive, and returns the reason why
-// it stops. While no command may be started it goes on reading as far as the buffer
-// has room, in order to detect a client that disconnects.
+// it stops. While no command may be started it goes on reading, in order to detect a client
+// that disconnects. Commands for which the buffer has no room are refused.
 func (c *client) readCommands() error {
 	// Without a limit, a client that sends nothing, or only part of a command,
 	// would hold its file descriptor forever.
@@ -195,12 +199,18 @@
 		if err := c.prepareRead(&in, blocked); err != nil {
 			return err
 		}
-		if len(in.buf) == cap(in.buf) || blocked && c.isReadingStopped() {
+		if blocked && c.isReadingStopped() {
 			if !c.waitUnblocked(&in) {
 				return errClientDisconnected
 			}
 			continue
 		}
+		if len(in.buf) == cap(in.buf) {
+			if err := c.refuseBuffered(&in); err != nil {
+				return err
+			}
+			continue
+		}
 		n, err := c.nc.Read(in.buf[len(in.buf):cap(in.buf)])
 		now := time.Now()
 		switch {
@@ -279,6 +289,80 @@
 	return !disconnected
 }
 
+// refuseBuffered refuses the complete commands in a full read buffer while no command may be
+// started. If they stayed there, the bytes behind them would stay unread: the time of their
+// requests would not be counted, and a close behind more bytes than the system holds would
+// not arrive.
+func (c *client) refuseBuffered(in *input) error {
+	remaining := in.buf
+	for len(remaining) > 0 {
+		args, n, err := nextCommand(remaining)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			break
+		}
+		remaining = remaining[n:]
+		in.arrivals.consume(n)
+		if len(args) == 0 { // an empty array is no command
+			continue
+		}
+		if err := c.refuseCommand(args); err != nil {
+			return err
+		}
+	}
+	if len(remaining) == len(in.buf) {
+		return errNoMemory // for the rest of the first command
+	}
+	var err error
+	in.buf, err = c.resizeBuffer(in.buf, remaining, true)
+	return err
+}
+
+// refuseCommand answers a command without starting it. It returns an error if the connection
+// is to be closed.
+func (c *client) refuseCommand(args [][]byte) error {
+	if c.pendingAnswers() >= maxPendingAnswers {
+		return errTooManyCommands
+	}
+	if equalFold(args[0], "PING") {
+		return c.replyWithinLimit(c.pingReply())
+	}
+	if _, err := c.server.cfg.parseCommand(args); err != nil {
+		_, err = c.rejectInvalid(err)
+		return err
+	}
+	return c.replyWithinLimit(c.server.busyReply())
+}
+
+// pendingAnswers returns the number of commands that have not been answered.
+func (c *client) pendingAnswers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
+// rejectInvalid answers an invalid command with the reason why it is invalid, and counts it.
+// Invalid commands are limited for each connection: a client that sends them as fast as they
+// are rejected would take the CPU from the others.
+func (c *client) rejectInvalid(invalid error) (count int32, err error) {
+	count = c.invalidCommands.Add(1)
+	if count >= maxInvalidCommands {
+		return count, errTooManyInvalidCommands
+	}
+	c.replyError(invalid)
+	return count, nil
+}
+
+// pingReply returns the answer to a PING.
+func (c *client) pingReply() []byte {
+	if c.server.loop.ready.Load() {
+		return redcon.AppendString(nil, "PONG")
+	}
+	return redcon.AppendError(nil, "ERR no backend is known")
+}
+
 // resizeBuffer returns a buffer that holds the remaining bytes of buf and has room
 // for the next read. A full buffer that cannot grow, because it has its maximum size or
 // there is no memory, stays full while commands are blocked; if none are blocked,
@@ -334,13 +418,10 @@
 		if invalid == nil {
 			continue
 		}
-		// Invalid commands are limited for each connection: a client that sends
-		// them as fast as they are rejected would take the CPU from the others.
-		count := c.invalidCommands.Add(1)
-		if count >= maxInvalidCommands {
-			return false, errTooManyInvalidCommands
+		count, err := c.rejectInvalid(invalid)
+		if err != nil {
+			return false, err
 		}
-		c.replyError(invalid)
 		if count > 1 {
 			in.blockedUntil = time.Now().Add(invalidCommandDelay)
 		}
@@ -380,11 +461,7 @@
 // bytes, and arrivedAt is when its last byte arrived.
 func (c *client) startCommand(args [][]byte, size int, arrivedAt time.Time) (invalid error) {
 	if equalFold(args[0], "PING") {
-		if !c.server.loop.ready.Load() {
-			c.reply(redcon.AppendError(nil, "ERR no backend is known"))
-		} else {
-			c.reply(redcon.AppendString(nil, "PONG"))
-		}
+		c.reply(c.pingReply())
 		return nil
 	}
 	cmd, err := c.server.cfg.parseCommand(args)
--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -68,8 +68,10 @@
 
 // flushAndLinger lets the writer send the answers that are still due, and waits until
 // the client has received them: closing the connection earlier would lose answers. It
-// returns early if the client disconnects. An evicted connection owes no answers.
-func (c *client) flushAndLinger() {
+// returns early if the client disconnects. An evicted connection owes no answers. With
+// discardInput set, what the client sends while requests are open is dropped; otherwise it
+// stays unread.
+func (c *client) flushAndLinger(discardInput bool) {
 	c.mu.Lock()
 	c.closing = true
 	answersDue := c.writerStarted && !c.evicted
@@ -79,12 +81,41 @@
 		return
 	}
 	notify(c.writerWake)
-	if closed := c.waitReadable(); closed || peerClosedBefore(c, c.writerDone) {
+	if c.disconnectsBeforeWritten(discardInput) {
 		return
 	}
 	c.linger()
 }
 
+// disconnectsBeforeWritten waits until the answers that are due are written, and reports
+// whether the client disconnected first.
+func (c *client) disconnectsBeforeWritten(discardInput bool) bool {
+	if discardInput && c.hasOpenRequests() {
+		return c.discardUntilWritten()
+	}
+	return c.waitReadable() || peerClosedBefore(c, c.writerDone)
+}
+
+// discardUntilWritten waits until the answers that are due are written, and reads and drops
+// what the client still sends. It reports whether the client disconnected first. Behind
+// input that can't be understood no command can be read; but if it stayed unread, a close
+// behind more bytes than the system holds would not arrive, and the requests of a client
+// that has gone would go on.
+func (c *client) discardUntilWritten() (closed bool) {
+	buf := make([]byte, readBufferBytes)
+	for {
+		select {
+		case <-c.writerDone:
+			return false
+		default:
+		}
+		c.nc.SetReadDeadline(time.Now().Add(peerCloseCheckInterval))
+		if _, err := c.nc.Read(buf); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return true
+		}
+	}
+}
+
 // linger waits until the last answers have been delivered, or the client has
 // disconnected. If the client sends more bytes around the close, the close becomes a
 // TCP reset, which discards data that the client's host has not acknowledged yet.
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -422,7 +422,7 @@
 		if err := c.readCommands(); !errors.Is(err, errServerClose) {
 			t.Errorf("%s: the reader ends with %v, want errServerClose", name, err)
 		}
-		c.flushAndLinger()
+		c.flushAndLinger(false)
 		if got := readUnread(t, b.nc, len(late)); got != late {
 			t.Errorf("%s: %q is left unread, want the late command", name, got)
 		}
--- a/internal/ingress/client_writer.go
+++ b/internal/ingress/client_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -71,6 +72,13 @@
 	}
 }
 
+// hasOpenRequests reports whether an answer is due that is not known yet.
+func (c *client) hasOpenRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.pending, func(s *slot) bool { return !s.filled })
+}
+
 // dropPending discards all pending slots, releases the memory of their answers, and
 // returns the requests that were not answered yet.
 func (c *client) dropPending() (unanswered []*request) {
@@ -88,9 +96,25 @@
 
 // reply answers a command without asking a backend.
 func (c *client) reply(data []byte) {
-	s := &slot{data: data, filled: true, reserved: slotOverheadBytes + len(data)}
-	c.server.loop.memory.forceReserve(answerMemory, s.reserved)
-	c.push(s)
+	reserved := slotOverheadBytes + len(data)
+	c.server.loop.memory.forceReserve(answerMemory, reserved)
+	c.pushReply(data, reserved)
+}
+
+// replyWithinLimit does the same, or returns errNoMemory if there is no memory for the
+// answer.
+func (c *client) replyWithinLimit(data []byte) error {
+	reserved := slotOverheadBytes + len(data)
+	if !c.server.loop.memory.reserve(answerMemory, reserved) {
+		return errNoMemory
+	}
+	c.pushReply(data, reserved)
+	return nil
+}
+
+// pushReply appends an answer for which memory is reserved to the pending ones.
+func (c *client) pushReply(data []byte, reserved int) {
+	c.push(&slot{data: data, filled: true, reserved: reserved})
 	notify(c.writerWake)
 }
 
--- a/internal/ingress/shutdown_test.go
+++ b/internal/ingress/shutdown_test.go
@@ -381,7 +381,7 @@
 	fmt.Fprint(f.peer, encode("PING")) // stays unread, and arrives before the close
 	closed := make(chan struct{})
 	go func() {
-		c.flushAndLinger()
+		c.flushAndLinger(false)
 		c.nc.Close()
 		close(closed)
 	}()
