Bound the memory for request ids, and keep those of open requests apart

Cause: every id was remembered for up to twice the longest deadline, whatever their number.

Change: a type of its own, requestIDs. The ids of open requests are kept exactly; the memory budget limits their number. Those of ended requests take 1/16 of the memory limit at most and are forgotten sooner if there are more. Ids of requests that had no attempt, which a client can produce at any rate, are kept apart, so that they do not push out those of requests that have run.

Tests: TestMemoryOfRequestIDsIsBounded adds a million ids; the old set took more than the 4 MB that it allows (with 64 MB), and the ids of open and executed requests must still be known. TestRequestIDsAtCapacityFitIntoTheirMemory. The part of TestRecentIDsExpire about removal is TestForgottenIDIsUnknown now, since an id is removed while its request is open.

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -149,26 +149,6 @@
 	wantNone(t, "a forwarded duplicate", b.commands)
 }
 
-func TestRecentIDsExpire(t *testing.T) {
-	r := recentIDs{retention: 10}
-	for _, step := range []struct {
-		at   time.Duration
-		id   uint64
-		want bool
-	}{{0, 1, true}, {9, 1, false}, {10, 2, true}, {19, 1, false}, {20, 3, true}, {20, 2, false}, {30, 1, true}} {
-		if got := r.add(step.id, step.at); got != step.want {
-			t.Errorf("id %d at %d: new is %v, want %v", step.id, step.at, got, step.want)
-		}
-	}
-	if n := len(r.current) + len(r.previous); n > 3 {
-		t.Errorf("%d ids are kept, want 3 at most", n)
-	}
-	r.remove(3)
-	if !r.add(3, 31) {
-		t.Error("a removed id is still known")
-	}
-}
-
 // A client that sends nothing, or only part of a command, would otherwise hold a file
 // descriptor forever.
 func TestSilentConnectionsAndPartialCommandsTimeOut(t *testing.T) {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -27,9 +27,6 @@
 	// clientMemoryDivisor limits the data held for clients to 1/clientMemoryDivisor of the
 	// memory limit.
 	clientMemoryDivisor = 6
-	// requestIDMargin is how much longer than the longest deadline a request id is
-	// remembered.
-	requestIDMargin = time.Second
 )
 
 // event is a function that the loop runs on its goroutine, which owns the gateway.
@@ -49,7 +46,7 @@
 	pool               *pool
 	requests           map[uint32]*request
 	lastRequestID      uint32
-	recentIDs          recentIDs
+	requestIDs         *requestIDs
 	memory             *memoryBudget
 	startAges          startAgeEstimator
 }
@@ -65,7 +62,9 @@
 	deadline time.Time
 	arrived  time.Time  // when its last byte arrived
 	started  time.Time  // when its client's reader started it
+	ownsID   bool       // its requestID is not that of another request
 	finished bool       // has its final answer, or the client has disconnected
+	unsent   bool       // the client disconnected before the first attempt
 	attempts []*attempt // all attempts so far, indexed by their number
 	inFlight int        // attempts that have not ended
 }
@@ -82,7 +81,7 @@
 	for _, c := range cfg.Choice.Classes {
 		longestDeadline = max(longestDeadline, c.Deadline)
 	}
-	l.recentIDs.retention = longestDeadline + requestIDMargin
+	l.requestIDs = newRequestIDs(longestDeadline+requestIDMargin, cfg.Limits.MemoryMB)
 	l.pool = newPool(cfg, l.memory,
 		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
 			l.post(func(l *loop) { l.handleAttemptEnd(a, r, elapsed, c) })
@@ -133,7 +132,7 @@
 	r.id = l.lastRequestID
 	l.requests[r.id] = r
 	now := l.now()
-	if !l.recentIDs.add(r.requestID, now) {
+	if r.ownsID = l.requestIDs.begin(r.requestID, now); !r.ownsID {
 		// Clients choose a new id for every retry, so this request comes from somebody
 		// else, who must not receive the value of the earlier one.
 		r.client.invalidCommands.Add(1)
@@ -153,39 +152,24 @@
 	l.removeIfDone(r)
 }
 
-// recentIDs remembers the request ids of clients for at least the retention time, and
-// for at most twice that.
-type recentIDs struct {
-	retention         time.Duration
-	rotatedAt         time.Duration
-	current, previous map[uint64]struct{}
-}
-
-// add records an id. It returns false if the id is already known.
-func (r *recentIDs) add(id uint64, now time.Duration) bool {
-	if r.current == nil || now-r.rotatedAt >= r.retention {
-		r.previous, r.current, r.rotatedAt = r.current, map[uint64]struct{}{}, now
-	}
-	if _, known := r.previous[id]; known {
-		return false
-	}
-	n := len(r.current)
-	r.current[id] = struct{}{}
-	return len(r.current) > n
-}
-
-// remove makes an id unknown again.
-func (r *recentIDs) remove(id uint64) {
-	delete(r.current, id)
-	delete(r.previous, id)
-}
-
 // removeIfDone removes a request that is finished and has no attempt in flight, and
 // releases its memory.
 func (l *loop) removeIfDone(r *request) {
 	if r.finished && r.inFlight == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		l.memory.releaseRequest(r.size)
+		l.releaseID(r)
+	}
+}
+
+// releaseID records that the request with the id has ended.
+func (l *loop) releaseID(r *request) {
+	switch {
+	case !r.ownsID:
+	case r.unsent:
+		l.requestIDs.forget(r.requestID)
+	default:
+		l.requestIDs.end(r.requestID, len(r.attempts) > 0, l.now())
 	}
 }
 
@@ -195,9 +179,7 @@
 		if !r.finished {
 			l.logFinished(r, "gone", "the client has left", 0)
 			l.finish(r)
-			if len(r.attempts) == 0 {
-				l.recentIDs.remove(r.requestID) // not sent to any backend: the client may send it again
-			}
+			r.unsent = len(r.attempts) == 0
 			l.gateway.ClientDisconnected(l.now(), r.id)
 			l.removeIfDone(r)
 		}
