Make room for waiting connections at once when the table of clients is full

What callers saw: with 900 silent clients at an ingress with 256 descriptors, a request on a new connection waited 1.67 s in the listener's backlog (20 of 20 requests with 0.8 s to live were answered more than 0.55 s after their time, which is lost); with 600, 1.14 s, with 300, 0.62 s.

Cause: while the table was full, a connection that had sent nothing stayed for 250 ms, one was evicted for each look, and looks came 5 ms apart. 134 places for 900 clients make seven rounds of 250 ms.

Change: while no connection fits, one that has sent no request may be evicted after 50 ms (whoever connects to send a request sends it at once), the whole headroom is evicted together, and a closed connection wakes the accept loop.

Tests: TestUnusedConnectionIsEvictedSoonerWhenTableIsFull and TestFullTableMakesHeadroomAtOnce; before the change the latter found one place less taken instead of the headroom.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -119,22 +119,28 @@
 	lastActive  time.Time
 }
 
-// before reports whether a connection of this rank is evicted before one of the
-// other rank.
-func (rank evictionRank) before(other evictionRank) bool {
-	if rank.sentRequest != other.sentRequest {
-		return other.sentRequest
+// compare orders the rank that is evicted first before the other one.
+func (rank evictionRank) compare(other evictionRank) int {
+	switch {
+	case rank.sentRequest == other.sentRequest:
+		return rank.lastActive.Compare(other.lastActive)
+	case other.sentRequest:
+		return -1
 	}
-	return rank.lastActive.Before(other.lastActive)
+	return 1
 }
 
-// evictionRank returns the rank of the connection, and whether it may be evicted now.
-func (c *client) evictionRank(now time.Time) (rank evictionRank, evictable bool) {
+// evictionRank returns the rank of the connection, and whether it may be evicted now. full
+// means that no further connection fits.
+func (c *client) evictionRank(now time.Time, full bool) (rank evictionRank, evictable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	minIdle := minIdleUnused
-	if c.sentRequest {
+	switch {
+	case c.sentRequest:
 		minIdle = minIdleUsed
+	case full:
+		minIdle = minIdleUnusedIfFull
 	}
 	return evictionRank{c.sentRequest, c.lastActive},
 		len(c.pending) == 0 && !c.sending && !c.closing && !c.draining && !c.evicted &&
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	minIdleUsed = 2 * time.Second
 	// minIdleUnused is the same for a connection that has never sent one.
 	minIdleUnused = 250 * time.Millisecond
+	// minIdleUnusedIfFull is the same while no further connection fits: whoever connects to
+	// send a request sends it at once, and those that wait in the backlog have sent theirs.
+	minIdleUnusedIfFull = 50 * time.Millisecond
 )
 
 // Server is one ingress: it accepts the connections of clients and serves them.
@@ -39,6 +43,7 @@
 	discoveryAddrs chan string // new addresses of discovery, from Reload
 
 	lastClientID atomic.Uint64 // id of the newest connection
+	roomFreed    chan struct{} // signals that a connection has been removed
 
 	mu               sync.Mutex
 	clients          map[*client]struct{}
@@ -62,7 +67,7 @@
 	}
 	return &Server{core: core, ln: ln.(*net.TCPListener), clients: map[*client]struct{}{},
 		allClientsClosed: make(chan struct{}), newSchedule: shutdown.NewSchedule, phaseEnd: phaseEnd,
-		discoveryAddrs: make(chan string)}, nil
+		roomFreed: make(chan struct{}, 1), discoveryAddrs: make(chan string)}, nil
 }
 
 // Reload applies the part of a configuration that may change while the ingress runs: the
@@ -133,37 +138,58 @@
 		}
 		// At the limit, further connections wait in the listener's backlog: rejecting
 		// them would also hit well-behaved clients.
-		for !s.makeRoom() {
-			time.Sleep(acceptRetryInterval)
-		}
+		s.awaitRoom()
 		s.addClient(nc)
 	}
 }
 
-// makeRoom reports whether there is room for a further connection. Near the limit it
-// evicts one: first those that have never sent a valid request, then the one that has been
-// idle for longest. Connections with an open request are never evicted.
+// awaitRoom waits until there is room for a further connection.
+func (s *Server) awaitRoom() {
+	for !s.makeRoom() {
+		select {
+		case <-s.roomFreed:
+		case <-time.After(acceptRetryInterval):
+		}
+	}
+}
+
+// makeRoom reports whether there is room for a further connection. Near the limit it evicts
+// connections to keep the headroom: first those that have never sent a valid request, then
+// those that have been idle for longest. Connections with an open request are never evicted.
 func (s *Server) makeRoom() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maxClients := s.cfg.Limits.maxClients()
-	if s.drainingBacklog || len(s.clients) < maxClients &&
-		len(s.clients)-s.evicting < maxClients-maxClients/headroomDivisor {
+	if s.drainingBacklog {
 		return true
 	}
-	var victim *client
-	var victimRank evictionRank
+	maxClients := s.cfg.Limits.maxClients()
+	full := len(s.clients) >= maxClients
+	excess := len(s.clients) - s.evicting - (maxClients - maxClients/headroomDivisor) + 1
+	if excess > 0 {
+		s.evictIdle(excess, full)
+	}
+	return !full
+}
+
+// evictIdle evicts up to n idle connections. full means that no further connection fits. The
+// caller holds s.mu.
+func (s *Server) evictIdle(n int, full bool) {
+	type candidate struct {
+		client *client
+		rank   evictionRank
+	}
+	var candidates []candidate
 	now := time.Now()
 	for c := range s.clients {
-		if rank, evictable := c.evictionRank(now); evictable && (victim == nil || rank.before(victimRank)) {
-			victim, victimRank = c, rank
+		if rank, evictable := c.evictionRank(now, full); evictable {
+			candidates = append(candidates, candidate{c, rank})
 		}
 	}
-	if victim != nil {
-		victim.evict()
+	slices.SortFunc(candidates, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	for _, victim := range candidates[:min(n, len(candidates))] {
+		victim.client.evict()
 		s.evicting++
 	}
-	return len(s.clients) < maxClients
 }
 
 // busyReply returns the answer to a command that is refused before it reaches the
@@ -196,5 +222,6 @@
 	if c.evicted {
 		s.evicting--
 	}
+	notify(s.roomFreed)
 	s.checkAllClientsClosed()
 }
--- /dev/null
+++ b/internal/ingress/server_test.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against requests that age unread in the listener's backlog: while the table of
+// clients is full, a connection that has sent nothing may be evicted sooner. One that has
+// sent a request may not.
+func TestUnusedConnectionIsEvictedSoonerWhenTableIsFull(t *testing.T) {
+	r := newRig(t, nil, newFakeBackend(t).member("b"))
+	for _, c := range []struct {
+		name        string
+		sentRequest bool
+		idle        time.Duration
+		full, want  bool
+	}{
+		{"unused, table not full", false, minIdleUnused - 1, false, false},
+		{"unused for long, table not full", false, minIdleUnused, false, true},
+		{"unused, table full", false, minIdleUnusedIfFull, true, true},
+		{"just opened, table full", false, minIdleUnusedIfFull - 1, true, false},
+		{"used, table full", true, minIdleUsed - 1, true, false},
+		{"used and idle for long, table full", true, minIdleUsed, true, true},
+	} {
+		client := newClient(r.server, newConnFixture(t).nc)
+		client.sentRequest = c.sentRequest
+		if _, evictable := client.evictionRank(client.lastActive.Add(c.idle), c.full); evictable != c.want {
+			t.Errorf("%s: evictable is %v, want %v", c.name, evictable, c.want)
+		}
+	}
+}
+
+// Guards against requests that age unread in the listener's backlog: when silent clients have
+// filled the table, the whole headroom is made at once, not one place for each look.
+func TestFullTableMakesHeadroomAtOnce(t *testing.T) {
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets = 100 }, newFakeBackend(t).member("b"))
+	r.waitForClients(0)
+	maxClients := r.server.cfg.Limits.maxClients()
+	for range maxClients {
+		r.server.addClient(newConnFixture(t).nc)
+	}
+	r.server.mu.Lock()
+	for c := range r.server.clients {
+		c.mu.Lock()
+		c.lastActive = time.Now().Add(-minIdleUnusedIfFull)
+		c.mu.Unlock()
+	}
+	r.server.mu.Unlock()
+	if r.server.makeRoom() {
+		t.Error("a full table has room")
+	}
+	r.waitForClients(maxClients - maxClients/headroomDivisor - 1)
+	if !r.server.makeRoom() {
+		t.Error("there is no room after the evictions")
+	}
+}
+
+// waitForClients waits until the server has the given number of connections.
+func (r *rig) waitForClients(want int) {
+	r.Helper()
+	r.eventually("the connections", func(*loop) bool {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		return len(r.server.clients) == want
+	})
+}
