Serve clients that have sent a command above a full table, for one answer each

What callers saw: with 150 or 240 clients that had asked once and kept their connections, at an ingress with 256 descriptors, a request on a new connection waited 2.1 s (20 of 20 with 0.8 s to live were answered more than 0.55 s after their time).

Cause: a connection that has sent a request may be closed after 2 s without one only, so nothing made room for the next, however short its request.

Change: while the table is full, an eighth more connections may be opened for clients whose first bytes are there. Each is closed when its request is answered. The shares of the descriptors come to 97% with them.

If they never read the end of the stream, each such connection lingers for 0.2 s, and 240 of them still take 1.92 s.

Test: TestClientWithCommandIsServedAboveTheLimit.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -56,6 +56,7 @@
 	errServerClose            = errors.New("the connection accepts no further commands")
 	errEvicted                = fmt.Errorf("%w: evicted while idle to make room for a new connection", errServerClose)
 	errDraining               = fmt.Errorf("%w: the ingress is draining and no request is open", errServerClose)
+	errAboveLimit             = fmt.Errorf("%w: opened above the limit of connections, and no request is open", errServerClose)
 	errFirstCommandOnly       = fmt.Errorf("%w: the ingress is draining and the connection has already sent a command", errServerClose)
 	errReadingStopped         = fmt.Errorf("%w: the ingress has stopped reading", errServerClose)
 	errIncompleteCommand      = errors.New("the ingress stopped reading before the command was complete")
@@ -74,6 +75,7 @@
 	id              uint64 // identifies the connection in the log
 	nc              net.Conn
 	opened          time.Time
+	aboveLimit      bool          // to be closed when no request is open, after the first command
 	writerWake      chan struct{} // signals that the writer has something to do
 	slotFreed       chan struct{} // signals that the writer has removed slots from pending
 	writerDone      chan struct{} // closed when the writer has returned
@@ -256,6 +258,8 @@
 		return errFirstCommandOnly
 	case idle && c.draining:
 		return errDraining
+	case idle && c.aboveLimit:
+		return errAboveLimit
 	}
 	deadline := in.completeBy
 	switch {
--- a/internal/ingress/client_writer.go
+++ b/internal/ingress/client_writer.go
@@ -211,7 +211,7 @@
 	_, err := c.nc.Write(batch.data)
 	c.mu.Lock()
 	c.sending, c.closed, c.closeErr = false, c.closed || err != nil, err
-	if (c.draining || c.evicted) && len(c.pending) == 0 && !c.closing {
+	if (c.draining || c.evicted || c.aboveLimit) && len(c.pending) == 0 && !c.closing {
 		c.interruptRead() // the connection is idle and may be closed
 	}
 	c.mu.Unlock()
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -43,6 +43,7 @@
 	heapMemoryShare       = 0.6
 	gcPercent             = 400 // the live heap is small, so memory is traded for CPU time
 	clientSocketShare     = 0.55
+	extraClientDivisor    = 8 // a full table takes this part more, each for one answer
 	backendSocketShare    = 0.35
 	reservedSockets       = 12
 	defaultSockets        = 1024
@@ -66,6 +67,10 @@
 	return max(1, int(clientSocketShare*float64(l.Sockets-reservedSockets)))
 }
 
+// maxExtraClients returns the number of connections of clients above maxClients that may be
+// opened while all others are in use, each of which is closed after its first answer.
+func (l Limits) maxExtraClients() int { return l.maxClients() / extraClientDivisor }
+
 // maxBackendConns returns the maximum number of connections to backends.
 func (l Limits) maxBackendConns() int {
 	return max(1, int(backendSocketShare*float64(l.Sockets-reservedSockets)))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -136,21 +136,33 @@
 			time.Sleep(acceptRetryInterval)
 			continue
 		}
-		// At the limit, further connections wait in the listener's backlog: rejecting
-		// them would also hit well-behaved clients.
-		s.awaitRoom()
-		s.addClient(nc)
+		s.admit(nc)
 	}
 }
 
-// awaitRoom waits until there is room for a further connection.
-func (s *Server) awaitRoom() {
+// admit adds an accepted connection as soon as there is room. At the limit, further
+// connections wait in the listener's backlog: rejecting them would also hit well-behaved
+// clients. If idle connections that may not be evicted yet have filled the table, a client
+// that has already sent a command is served above the limit.
+func (s *Server) admit(nc net.Conn) {
 	for !s.makeRoom() {
+		if s.hasExtraRoom() && hasUnreadBytes(nc) {
+			s.addClient(nc, true)
+			return
+		}
 		select {
 		case <-s.roomFreed:
 		case <-time.After(acceptRetryInterval):
 		}
 	}
+	s.addClient(nc, false)
+}
+
+// hasExtraRoom reports whether a connection above the limit may be opened.
+func (s *Server) hasExtraRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.clients) < s.cfg.Limits.maxClients()+s.cfg.Limits.maxExtraClients()
 }
 
 // makeRoom reports whether there is room for a further connection. Near the limit it evicts
@@ -196,9 +208,11 @@
 // gateway.
 func (s *Server) busyReply() []byte { return busyReply(s.cfg.Choice.RetryAfterHint()) }
 
-// addClient registers a new connection and starts to serve it.
-func (s *Server) addClient(nc net.Conn) {
+// addClient registers a new connection and starts to serve it. aboveLimit means that it is
+// closed after its first answer.
+func (s *Server) addClient(nc net.Conn, aboveLimit bool) {
 	c := newClient(s, nc)
+	c.aboveLimit = aboveLimit
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// During a shutdown, the connection closes after its first answer.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cedarseam/choice"
 )
 
 // Guards against requests that age unread in the listener's backlog: while the table of
@@ -38,7 +40,7 @@
 	r.waitForClients(0)
 	maxClients := r.server.cfg.Limits.maxClients()
 	for range maxClients {
-		r.server.addClient(newConnFixture(t).nc)
+		r.server.addClient(newConnFixture(t).nc, false)
 	}
 	r.server.mu.Lock()
 	for c := range r.server.clients {
@@ -56,6 +58,47 @@
 	}
 }
 
+// Guards against requests that age unread in the listener's backlog: when connections that
+// may not be evicted fill the table, a client that has sent a command is served above the
+// limit, and its connection is closed after the answer.
+func TestClientWithCommandIsServedAboveTheLimit(t *testing.T) {
+	b := newFakeBackend(t)
+	r := newRig(t, func(cfg *Config) { cfg.Limits.Sockets, cfg.Choice.Probing = 42, false }, b.member("b"))
+	r.waitForClients(0)
+	limits := r.server.cfg.Limits
+	for range limits.maxClients() {
+		r.server.addClient(newConnFixture(t).nc, false)
+	}
+	r.server.mu.Lock()
+	for c := range r.server.clients {
+		c.push(&slot{}) // a request without an answer
+	}
+	r.server.mu.Unlock()
+	var served []*fakeClient
+	for range limits.maxExtraClients() + 1 { // the last one has to wait
+		c := r.dial()
+		c.send("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+		served = append(served, c)
+	}
+	for range limits.maxExtraClients() {
+		defer wait(t, "a request above the limit", b.commands).replyValue("v")
+	}
+	r.waitForClients(limits.maxClients() + limits.maxExtraClients())
+	wantNone(t, "a request beyond the connections above the limit", b.commands)
+	served[0].send("PING") // in use until its request is answered
+	r.runOnLoop(func(l *loop) {
+		for id := range l.requests {
+			l.Fail(id, choice.None)
+		}
+	})
+	served[0].wantLine("-ERR failed")
+	served[0].wantLine("+PONG")
+	served[0].wantClosed()
+	served[1].wantLine("-ERR failed")
+	served[1].wantClosed()
+	defer wait(t, "the request that had to wait", b.commands).replyValue("v")
+}
+
 // waitForClients waits until the server has the given number of connections.
 func (r *rig) waitForClients(want int) {
 	r.Helper()
