Count the time of a command from its arrival in the listener's backlog

Cause: the bytes of a command counted as arrived when they were read.

Change: for a new connection the system tells how long ago the last data came (TCP_INFO) and how many bytes wait. If that is more than 10 ms ago, these bytes count as arrived then. Where the system does not tell, nothing changes.

Test: TestDeadlineCountsFromArrivalInBacklog.

--- a/internal/ingress/arrivals.go
+++ b/internal/ingress/arrivals.go
@@ -27,15 +27,25 @@
 	at  time.Time
 }
 
+// expect records that the next bytes to be read have already arrived, at the given time at
+// the earliest. They are in the socket.
+func (a *arrivals) expect(bytes int, at time.Time) {
+	if bytes > 0 {
+		a.marks = append(a.marks, arrival{a.received + bytes, at})
+	}
+}
+
 // add records the arrival of further bytes.
 func (a *arrivals) add(bytes int, at time.Time) {
 	a.received += bytes
-	if last := len(a.marks) - 1; last >= 0 &&
-		(at.Sub(a.marks[last].at) < arrivalResolution || len(a.marks) >= maxArrivalMarks) {
+	last := len(a.marks) - 1
+	switch {
+	case last >= 0 && a.received <= a.marks[last].end: // expected
+	case last >= 0 && (at.Sub(a.marks[last].at) < arrivalResolution || len(a.marks) >= maxArrivalMarks):
 		a.marks[last].end = a.received
-		return
+	default:
+		a.marks = append(a.marks, arrival{a.received, at})
 	}
-	a.marks = append(a.marks, arrival{a.received, at})
 }
 
 // consume removes the next bytes, at least one, and returns when the last of them
@@ -47,9 +57,10 @@
 		first++
 	}
 	at = a.marks[first].at
-	if a.consumed == a.received {
-		a.marks = a.marks[:0]
-	} else if first > 0 { // in place, so that the array does not grow
+	if a.marks[first].end == a.consumed {
+		first++ // a mark of consumed bytes is not extended
+	}
+	if first > 0 { // in place, so that the array does not grow
 		a.marks = append(a.marks[:0], a.marks[first:]...)
 	}
 	return at
--- a/internal/ingress/arrivals_test.go
+++ b/internal/ingress/arrivals_test.go
@@ -64,3 +64,24 @@
 		t.Errorf("the array has grown to %d marks", cap(a.marks))
 	}
 }
+
+// Bytes that were received before they could be read keep the time of their arrival. Those
+// that arrive later do not share it.
+func TestExpectedBytesKeepTheirArrival(t *testing.T) {
+	start := time.Now()
+	after := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var a arrivals
+	a.expect(100, start)
+	a.add(40, after(500))
+	a.add(60, after(501))
+	a.add(10, after(502))
+	for i, want := range []struct{ bytes, ms int }{{40, 0}, {59, 0}, {1, 0}, {10, 502}} {
+		if got := a.consume(want.bytes); !got.Equal(after(want.ms)) {
+			t.Errorf("part %d arrived after %v, want %d ms", i, got.Sub(start), want.ms)
+		}
+	}
+	a.expect(0, start)
+	if len(a.marks) > 0 {
+		t.Errorf("%d marks are kept for no bytes", len(a.marks))
+	}
+}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -199,6 +199,7 @@
 	// would hold its file descriptor forever.
 	in := input{buf: make([]byte, 0, readBufferBytes), completeBy: c.opened.Add(firstCommandTimeout)}
 	defer func() { c.server.loop.memory.release(inputMemory, cap(in.buf)-readBufferBytes) }()
+	c.expectReceived(&in)
 	for {
 		blocked, err := c.startCommands(&in)
 		if err != nil {
--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -201,6 +201,34 @@
 	return false
 }
 
+// expectReceived records when the bytes arrived that are already in the socket of a new
+// connection: they may have waited in the listener's backlog, and the deadlines of their
+// requests count from their arrival.
+func (c *client) expectReceived(in *input) {
+	info, err := tcpInfo(c.nc)
+	if err != nil {
+		return
+	}
+	age := time.Duration(info.Last_data_recv) * time.Millisecond
+	if age < arrivalResolution {
+		return
+	}
+	in.arrivals.expect(unreadBytes(c.nc), time.Now().Add(-age))
+}
+
+// unreadBytes returns the number of received bytes that wait to be read, or 0 if that is
+// unknown.
+func unreadBytes(nc net.Conn) (n int) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	if err := raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }); err != nil {
+		return 0
+	}
+	return n
+}
+
 // hasUndeliveredData reports whether the peer's host has not yet acknowledged all that
 // was written.
 func hasUndeliveredData(nc net.Conn) bool {
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -99,6 +101,40 @@
 	defer wait(t, "the request that had to wait", b.commands).replyValue("v")
 }
 
+// Guards against a wrong time that backends are told: the deadline of a command that has
+// waited in the listener's backlog counts from its arrival, not from when it is read.
+func TestDeadlineCountsFromArrivalInBacklog(t *testing.T) {
+	const timeLimit, backlogTime = 20 * time.Second, 100 * time.Millisecond
+	r := newRig(t, nil, newFakeBackend(t).member("b"))
+	f := newConnFixture(t)
+	fmt.Fprint(f.peer, encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"))
+	written := time.Now()
+	for {
+		info, err := tcpInfo(f.nc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if time.Duration(info.Last_data_recv)*time.Millisecond >= backlogTime {
+			break
+		}
+		runtime.Gosched()
+	}
+	r.server.addClient(f.nc, false)
+	var deadline time.Time
+	r.waitForAnyClient("the request", func(c *client) bool {
+		if len(c.pending) == 1 && c.pending[0].request != nil {
+			deadline = c.pending[0].request.deadline
+		}
+		return !deadline.IsZero()
+	})
+	if got := deadline.Sub(written); got > timeLimit {
+		t.Errorf("the deadline is %v after the command, want %v at most", got, timeLimit)
+	}
+	if got := deadline.Sub(written); got < timeLimit-backlogTime {
+		t.Errorf("the deadline is %v after the command, too early for a limit of %v", got, timeLimit)
+	}
+}
+
 // waitForClients waits until the server has the given number of connections.
 func (r *rig) waitForClients(want int) {
 	r.Helper()
