Write long arguments to backends without copying them

What callers could see: an ingress that passes its memory limit. Each attempt copied its command, up to 68 KB, and held the copy for as long as its backend did not read; it was not counted.

Change: a message is written in parts, and an argument over 1 KB is one of them. The command is held once, where it is counted.

Tests: TestMessageRefersToLongArguments (the message of 60,000 bytes held a copy before), TestLongRequestIsForwardedUnchanged.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -129,12 +129,12 @@
 	a.pool.onAttemptEnd(a, r, time.Since(a.started), c)
 }
 
-// encodeCommand returns the command of the request, or of the probe.
-func (a *attempt) encodeCommand() []byte {
+// message returns the parts of the command of the request, or of the probe.
+func (a *attempt) message() [][]byte {
 	if a.request == nil {
-		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+		return [][]byte{redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")}
 	}
-	return a.request.appendTo(make([]byte, 0, a.request.size+64), time.Until(a.deadline))
+	return a.request.message(time.Until(a.deadline))
 }
 
 // parseAnswer parses the first answer in buf as an answer to the request, or to the probe.
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -36,6 +36,20 @@
 	c.wantLine("$4\r\ndone")
 }
 
+// A long command, which is written in parts, arrives as the client sent it.
+func TestLongRequestIsForwardedUnchanged(t *testing.T) {
+	b := newFakeBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	c.send("Q.DO", testCustomer, testRequestID, paymentOptions, longBody)
+	got := wait(t, "the request", b.commands)
+	if len(got.args) != 5 || got.args[4] != longBody {
+		t.Errorf("the backend got %d arguments, the last with %d bytes", len(got.args), len(got.args[len(got.args)-1]))
+	}
+	got.replyValue("done")
+	c.wantLine("$4\r\ndone")
+}
+
 func TestPipelinedCommandsRunConcurrentlyAndAnswerInOrder(t *testing.T) {
 	b := newFakeBackend(t)
 	r := newRig(t, nil, b.member("b"))
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -219,20 +219,47 @@
 	return len(s) > 0
 }
 
-// appendTo appends the command as it is sent to a backend: the client's arguments, with
-// the time limit replaced by the timeout of the attempt.
-func (c *command) appendTo(b []byte, timeout time.Duration) []byte {
-	b = redcon.AppendArray(b, len(c.args))
+// maxCopiedArgBytes is the size up to which an argument is copied into the message of an
+// attempt. A longer one is written from where it is: each attempt would hold a copy of it for
+// as long as its backend does not read.
+const maxCopiedArgBytes = 1024
+
+// message returns the command as it is sent to a backend, in parts that are to be written one
+// after the other: the client's arguments, with the time limit replaced by the timeout of the
+// attempt.
+func (c *command) message(timeout time.Duration) (parts [][]byte) {
+	const framingBytes = 16 // of an argument or of the array, at most
+	size := framingBytes * (len(c.args) + 1)
+	for _, a := range c.args {
+		if len(a) <= maxCopiedArgBytes {
+			size += len(a)
+		}
+	}
+	part := redcon.AppendArray(make([]byte, 0, size), len(c.args))
 	for i, a := range c.args {
 		if i == optionsArg {
-			options := make([]byte, 0, len(a)+8)
-			options = append(options, a[:c.timeLimitStart]...)
-			options = strconv.AppendInt(options, max(1, timeout.Milliseconds()), 10)
-			a = append(options, a[c.timeLimitEnd:]...)
+			a = c.optionsWithTimeLimit(timeout)
 		}
-		b = redcon.AppendBulk(b, a)
+		if len(a) <= maxCopiedArgBytes {
+			part = redcon.AppendBulk(part, a)
+			continue
+		}
+		part = append(part, '$')
+		part = strconv.AppendInt(part, int64(len(a)), 10)
+		part = append(part, "\r\n"...)
+		parts = append(parts, part, a)
+		part = []byte("\r\n")
 	}
-	return b
+	return append(parts, part)
+}
+
+// optionsWithTimeLimit returns the options with the time limit replaced by a timeout.
+func (c *command) optionsWithTimeLimit(timeout time.Duration) []byte {
+	options := c.args[optionsArg]
+	replaced := make([]byte, 0, len(options)+8)
+	replaced = append(replaced, options[:c.timeLimitStart]...)
+	replaced = strconv.AppendInt(replaced, max(1, timeout.Milliseconds()), 10)
+	return append(replaced, options[c.timeLimitEnd:]...)
 }
 
 // replyForm is the form of a backend's answer on the wire, as it is logged.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -73,15 +73,23 @@
 	a.conn = c
 	c.nc.SetDeadline(a.deadline)
 	a.mu.Unlock()
-	message := a.encodeCommand()
-	n, _ := c.nc.Write(message)
-	a.fullyWritten = n == len(message)
+	a.fullyWritten = c.writeParts(a.message())
 	if !a.fullyWritten {
 		c.closeAsync()
 	}
 	return true
 }
 
+// writeParts writes the parts of a message, and reports whether it has written all of them.
+func (c *conn) writeParts(parts [][]byte) bool {
+	for _, part := range parts {
+		if n, _ := c.nc.Write(part); n < len(part) {
+			return false
+		}
+	}
+	return true
+}
+
 // nothingToRead reports whether a read would wait. The reader of an idle connection may
 // not have seen yet what has just arrived, such as the end of the connection or a
 // duplicate of the last answer. A request written to such a connection would be lost if
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"runtime"
@@ -239,3 +240,32 @@
 	})
 	wantNone(t, "a request over the limit", b.commands)
 }
+
+// Guards against memory that passes the limit: an attempt does not copy a long argument, so
+// the command is held once, however many backends do not read it.
+func TestMessageRefersToLongArguments(t *testing.T) {
+	f := newConnFixture(t)
+	for _, body := range []string{"", "BODY", longBody[:maxCopiedArgBytes], longBody[:maxCopiedArgBytes+1], longBody} {
+		args := [][]byte{[]byte("Q.DO"), []byte(testCustomer), []byte(testRequestID), []byte(paymentOptions), []byte(body)}
+		cmd, err := f.pool.cfg.parseCommand(args)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts := cmd.message(1500 * time.Millisecond)
+		options := strings.Replace(paymentOptions, "d=20000", "d=1500", 1)
+		want := encode("Q.DO", testCustomer, testRequestID, options, body)
+		if got := string(bytes.Join(parts, nil)); got != want {
+			t.Errorf("the message is %.120q, want %.120q", got, want)
+		}
+		owned := 0
+		for _, part := range parts {
+			if len(part) > 0 && len(body) > 0 && &part[0] == &args[4][0] {
+				continue
+			}
+			owned += cap(part)
+		}
+		if limit := 2 * maxCopiedArgBytes; owned > limit {
+			t.Errorf("the message of a body of %d bytes holds %d bytes of its own, want %d at most", len(body), owned, limit)
+		}
+	}
+}
