--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -17,6 +17,16 @@
 // The close of a client's connection: the requests to close it, and the steps between
 // the reader's decision and the close.
 
+const (
+	// lingerTimeout is how long a connection stays open after its last answer, so
+	// that the answer arrives before the connection closes.
+	lingerTimeout = 200 * time.Millisecond
+	// peerCloseCheckInterval is how often the state of a connection is polled while
+	// unread bytes hide a close by the client. An attempt for a client that
+	// disconnected more than 0.1 s ago is wasted.
+	peerCloseCheckInterval = 40 * time.Millisecond
+)
+
 // evict makes the reader close the connection if it is still idle. A command that
 // arrives first cancels the eviction.
 func (c *client) evict() {
