Wait in the test above the limit until the command behind the request is read

The test failed once (EOF in the place of PONG): the answer was written before the reader had taken the PING behind it, so the connection was idle and closed, and the PING rightly stayed unread.

--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -88,6 +88,7 @@
 	r.waitForClients(limits.maxClients() + limits.maxExtraClients())
 	wantNone(t, "a request beyond the connections above the limit", b.commands)
 	served[0].send("PING") // in use until its request is answered
+	r.waitForAnyClient("the command behind the request", func(c *client) bool { return len(c.pending) == 2 })
 	r.runOnLoop(func(l *loop) {
 		for id := range l.requests {
 			l.Fail(id, choice.None)
