Slow a fast client down before its commands are refused for a full buffer

Change: with a full buffer the reader waits for a free slot, 40 ms at most from when it last had read all that had come, and only then refuses what is there. So unread bytes still wait for no longer than that.

Tests: TestFullBufferWaitsForASlot (fails without the wait), TestFastClientKeepsItsConnection.

--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -22,6 +22,10 @@
 	// maxPipelinedCommands is how many commands of a connection may be open at a time.
 	// Further ones wait in the read buffer.
 	maxPipelinedCommands = 128
+	// maxFullTime is how long the read buffer may be full, with commands that may not be
+	// started, before they are refused. Until then a client that sends faster than it is
+	// answered is slowed down.
+	maxFullTime = 40 * time.Millisecond
 	// maxPendingAnswers is how many answers of a connection may be due, with those to commands
 	// that were refused because too many were unanswered.
 	maxPendingAnswers = 1024
@@ -64,6 +68,7 @@
 	blockedUntil time.Time // no command is started before this time
 	pipelineFull bool      // no command is started until the writer has freed a slot
 	checkedAt    time.Time // when the client was last seen to be connected
+	fullSince    time.Time // since when the buffer is full or more bytes wait; zero: not known
 }
 
 // readCommands reads and starts commands as they arrive, and returns the reason why
@@ -90,13 +95,17 @@
 			continue
 		}
 		if len(in.buf) == cap(in.buf) {
-			if err := c.refuseBuffered(&in); err != nil {
+			if err := c.handleFullBuffer(&in); err != nil {
 				return err
 			}
 			continue
 		}
-		n, err := c.nc.Read(in.buf[len(in.buf):cap(in.buf)])
+		room := in.buf[len(in.buf):cap(in.buf)]
+		n, err := c.nc.Read(room)
 		now := time.Now()
+		if n < len(room) {
+			in.fullSince = time.Time{} // all that had arrived is read
+		}
 		switch {
 		case n > 0:
 			in.buf = in.buf[:len(in.buf)+n]
@@ -175,6 +184,28 @@
 	return !disconnected
 }
 
+// handleFullBuffer waits until a command may be started again, while the read buffer is full.
+// If that takes too long, it refuses the commands in the buffer.
+func (c *client) handleFullBuffer(in *input) error {
+	now := time.Now()
+	if in.fullSince.IsZero() {
+		in.fullSince = now
+	}
+	remaining := maxFullTime - now.Sub(in.fullSince)
+	if remaining <= 0 {
+		in.fullSince = time.Time{}
+		return c.refuseBuffered(in)
+	}
+	select {
+	case <-c.slotFreed:
+	case <-time.After(remaining):
+	}
+	if c.hasDisconnected(in) {
+		return errClientDisconnected
+	}
+	return nil
+}
+
 // refuseBuffered refuses the complete commands in a full read buffer while no command may be
 // started. If they stayed there, the bytes behind them would stay unread: the time of their
 // requests would not be counted, and a close behind more bytes than the system holds would
--- a/internal/ingress/overflow_test.go
+++ b/internal/ingress/overflow_test.go
@@ -108,6 +108,54 @@
 	})
 }
 
+// A client that sends faster than it is answered is slowed down: while slots become free, the
+// commands in its full buffer wait. They are refused only when they have waited too long.
+func TestFullBufferWaitsForASlot(t *testing.T) {
+	newFullInput := func() *input {
+		in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"))
+		return &in
+	}
+	r := newRig(t, nil, newFakeBackend(t).member("b"))
+	c := newClient(r.server, newConnFixture(t).nc)
+	in := newFullInput()
+	notify(c.slotFreed)
+	if err := c.handleFullBuffer(in); err != nil || len(in.buf) == 0 || c.pendingAnswers() > 0 {
+		t.Errorf("a command is refused although a slot is free, error %v", err)
+	}
+	in.fullSince = time.Now().Add(-maxFullTime)
+	notify(c.slotFreed)
+	c.push(&slot{}) // keeps the answer pending
+	if err := c.handleFullBuffer(in); err != nil || len(in.buf) > 0 || c.pendingAnswers() != 2 {
+		t.Errorf("a command in a buffer that was full for too long is not refused, error %v", err)
+	}
+	if !in.fullSince.IsZero() {
+		t.Error("the next commands have no time of their own")
+	}
+}
+
+// A client that has commands refused as fast as it can send them, and reads its answers,
+// keeps its connection.
+func TestFastClientKeepsItsConnection(t *testing.T) {
+	b := newFakeBackend(t)
+	r, refusedOptions := newCappedPlanRig(t, b)
+	c := r.dial()
+	const commands = 20_000
+	go func() {
+		for range commands {
+			if _, err := c.nc.Write([]byte(encode("Q.DO", testCustomer, newRequestID(), refusedOptions, "BODY"))); err != nil {
+				return
+			}
+		}
+	}()
+	for n := range commands {
+		if got := c.readLine(); !strings.HasPrefix(got, "-BUSY") {
+			t.Fatalf("command %d is answered %q, want -BUSY", n, got)
+		}
+	}
+	c.send("PING")
+	c.wantLine("+PONG")
+}
+
 // Commands that are refused because the read buffer is full take no more than the budget and
 // the limit of the connection, whatever the client sends.
 func TestRefusedCommandsBehindFullBufferAreBounded(t *testing.T) {
