Refuse overflowing commands without further waits until all that came is read

Cause: a full buffer holds one or two long commands, and the reader waited for up to 40 ms before it refused each buffer, so that 200 long commands took seconds to read, and the close came behind them.

Change: once the buffer has been full for 40 ms, what follows is refused at once until all that has come is read, as long as fewer than 512 answers are due. Beyond that the reader waits while slots become free, and closes the connection if none does for 40 ms. The writer signals a freed slot only if it has taken an answer.

Tests: TestLongCommandsAreRefusedWithoutFurtherWaits (before the change the second command was not refused), TestFullBufferWaitsForASlot with the new limits.

--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -27,7 +27,7 @@
 	// answered is slowed down.
 	maxFullTime = 40 * time.Millisecond
 	// maxPendingAnswers is how many answers of a connection may be due, with those to commands
-	// that were refused because too many were unanswered.
+	// that were refused for a full read buffer.
 	maxPendingAnswers = 1024
 	// firstCommandTimeout is how long a new connection may take to send its first
 	// command.
@@ -68,7 +68,8 @@
 	blockedUntil time.Time // no command is started before this time
 	pipelineFull bool      // no command is started until the writer has freed a slot
 	checkedAt    time.Time // when the client was last seen to be connected
-	fullSince    time.Time // since when the buffer is full or more bytes wait; zero: not known
+	fullSince    time.Time // since when the buffer is full or more bytes wait; zero: neither
+	slotFreedAt  time.Time // when a slot was last freed while the buffer was full, or fullSince
 }
 
 // readCommands reads and starts commands as they arrive, and returns the reason why
@@ -185,20 +186,28 @@
 }
 
 // handleFullBuffer waits until a command may be started again, while the read buffer is full.
-// If that takes too long, it refuses the commands in the buffer.
+// If that takes too long, it refuses the commands in the buffer, as far as the connection may
+// have more answers due. A client that fills that too, and is not answered, is an error.
 func (c *client) handleFullBuffer(in *input) error {
 	now := time.Now()
 	if in.fullSince.IsZero() {
-		in.fullSince = now
+		in.fullSince, in.slotFreedAt = now, now
 	}
-	remaining := maxFullTime - now.Sub(in.fullSince)
-	if remaining <= 0 {
-		in.fullSince = time.Time{}
+	untilRefusal := maxFullTime - now.Sub(in.fullSince)
+	if untilRefusal <= 0 && c.pendingAnswers() < maxPendingAnswers/2 {
 		return c.refuseBuffered(in)
 	}
+	wait := maxFullTime - now.Sub(in.slotFreedAt)
+	if wait <= 0 {
+		return errTooManyCommands
+	}
+	if untilRefusal > 0 {
+		wait = min(wait, untilRefusal)
+	}
 	select {
 	case <-c.slotFreed:
-	case <-time.After(remaining):
+		in.slotFreedAt = time.Now()
+	case <-time.After(wait):
 	}
 	if c.hasDisconnected(in) {
 		return errClientDisconnected
@@ -212,7 +221,7 @@
 // not arrive.
 func (c *client) refuseBuffered(in *input) error {
 	remaining := in.buf
-	for len(remaining) > 0 {
+	for len(remaining) > 0 && c.pendingAnswers() < maxPendingAnswers {
 		args, n, err := nextCommand(remaining)
 		if err != nil {
 			return err
@@ -240,9 +249,6 @@
 // refuseCommand answers a command without starting it. It returns an error if the connection
 // is to be closed.
 func (c *client) refuseCommand(args [][]byte) error {
-	if c.pendingAnswers() >= maxPendingAnswers {
-		return errTooManyCommands
-	}
 	if equalFold(args[0], "PING") {
 		return c.replyWithinLimit(c.pingReply())
 	}
--- a/internal/ingress/client_writer.go
+++ b/internal/ingress/client_writer.go
@@ -125,6 +125,7 @@
 type answerBatch struct {
 	data     []byte
 	reserved int  // bytes reserved in the memory budget for these answers
+	taken    bool // at least one answer is in the batch
 	more     bool // further answers can be written
 	last     bool // the connection is closing, and no answer is left
 	closed   bool // answers can no longer be written
@@ -140,7 +141,9 @@
 		for more := true; more; {
 			var batch answerBatch
 			batch, joined = c.takeAnswers(joined)
-			notify(c.slotFreed)
+			if batch.taken || batch.closed {
+				notify(c.slotFreed)
+			}
 			err := c.writeBatch(batch)
 			c.server.loop.memory.release(answerMemory, batch.reserved)
 			if batch.closed || err != nil {
@@ -189,7 +192,8 @@
 	if len(c.pending) == 0 {
 		c.pending = nil
 	}
-	c.sending = taken > 0
+	batch.taken = taken > 0
+	c.sending = batch.taken
 	if c.sending {
 		c.lastActive = time.Now()
 	}
--- a/internal/ingress/overflow_test.go
+++ b/internal/ingress/overflow_test.go
@@ -109,27 +109,65 @@
 }
 
 // A client that sends faster than it is answered is slowed down: while slots become free, the
-// commands in its full buffer wait. They are refused only when they have waited too long.
+// commands in its full buffer wait. They are refused only when they have waited too long, and
+// the connection ends only if no slot becomes free although many answers are due.
 func TestFullBufferWaitsForASlot(t *testing.T) {
-	newFullInput := func() *input {
-		in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"))
-		return &in
+	long := time.Now().Add(-maxFullTime)
+	for _, c := range []struct {
+		name                   string
+		fullSince, slotFreedAt time.Time
+		pending                int
+		slotFreed              bool
+		wantRefused            bool
+		want                   error
+	}{
+		{name: "a slot becomes free", slotFreed: true},
+		{name: "no slot becomes free in time"},
+		{name: "full for too long", fullSince: long, slotFreedAt: long, wantRefused: true},
+		{name: "full for too long, with many answers due, while slots become free",
+			fullSince: long, slotFreedAt: time.Now().Add(time.Hour), pending: maxPendingAnswers / 2, slotFreed: true},
+		{name: "full for too long, with many answers due, and no slot",
+			fullSince: long, slotFreedAt: long, pending: maxPendingAnswers / 2, want: errTooManyCommands},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, nil, newFakeBackend(t).member("b"))
+			client := newClient(r.server, newConnFixture(t).nc)
+			for range c.pending {
+				client.push(&slot{})
+			}
+			in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"))
+			in.fullSince, in.slotFreedAt = c.fullSince, c.slotFreedAt
+			if c.slotFreed {
+				notify(client.slotFreed)
+			}
+			if err := client.handleFullBuffer(&in); !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if refused := len(in.buf) == 0; refused != c.wantRefused {
+				t.Errorf("the command is refused: %v, want %v", refused, c.wantRefused)
+			}
+			if in.fullSince.IsZero() {
+				t.Error("the buffer does not count as full although the socket was not drained")
+			}
+		})
 	}
+}
+
+// A full buffer holds few long commands. Once it has been full for too long, the next ones
+// are refused without a wait, until all that has come is read: otherwise a close behind many
+// long commands would arrive late.
+func TestLongCommandsAreRefusedWithoutFurtherWaits(t *testing.T) {
 	r := newRig(t, nil, newFakeBackend(t).member("b"))
-	c := newClient(r.server, newConnFixture(t).nc)
-	in := newFullInput()
-	notify(c.slotFreed)
-	if err := c.handleFullBuffer(in); err != nil || len(in.buf) == 0 || c.pendingAnswers() > 0 {
-		t.Errorf("a command is refused although a slot is free, error %v", err)
-	}
-	in.fullSince = time.Now().Add(-maxFullTime)
-	notify(c.slotFreed)
-	c.push(&slot{}) // keeps the answer pending
-	if err := c.handleFullBuffer(in); err != nil || len(in.buf) > 0 || c.pendingAnswers() != 2 {
-		t.Errorf("a command in a buffer that was full for too long is not refused, error %v", err)
-	}
-	if !in.fullSince.IsZero() {
-		t.Error("the next commands have no time of their own")
+	f := newConnFixture(t)
+	c := newClient(r.server, f.nc)
+	in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody))
+	in.fullSince, in.slotFreedAt = time.Now().Add(-maxFullTime), time.Now().Add(time.Hour)
+	for n := range 3 {
+		if err := c.handleFullBuffer(&in); err != nil || c.pendingAnswers() > n+1 || len(in.buf) > 0 {
+			t.Fatalf("command %d is not refused at once, error %v", n, err)
+		}
+		next := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody))
+		in.buf, in.arrivals = next.buf, next.arrivals
 	}
 }
 
