Ask for the state of a client's connection only where a read did not wait

Cost of the looks before commands: one more system call for a command on a connection that had been quiet for 40 ms. Bytes for which a read had to wait have come just now, so their client is connected; and the look at a new connection's backlog tells the state too. The descriptor of a backend's connection is looked up once.

--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -203,7 +203,12 @@
 	case err != nil:
 		return true
 	}
-	switch info.State {
+	return isPeerClosedState(info.State)
+}
+
+// isPeerClosedState reports whether the peer has closed a TCP connection in this state.
+func isPeerClosedState(state uint8) bool {
+	switch state {
 	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT,
 		unix.BPF_TCP_CLOSING, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_TIME_WAIT: // this side closed first
 		return true
@@ -219,11 +224,14 @@
 	if err != nil {
 		return
 	}
+	now := time.Now()
+	if !isPeerClosedState(info.State) {
+		in.checkedAt = now
+	}
 	age := time.Duration(info.Last_data_recv) * time.Millisecond
-	if age < arrivalResolution {
-		return
+	if age >= arrivalResolution {
+		in.arrivals.expect(unreadBytes(c.nc), now.Add(-age))
 	}
-	in.arrivals.expect(unreadBytes(c.nc), time.Now().Add(-age))
 }
 
 // unreadBytes returns the number of received bytes that wait to be read, or 0 if that is
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -22,6 +22,8 @@
 	// maxPipelinedCommands is how many commands of a connection may be open at a time.
 	// Further ones wait in the read buffer.
 	maxPipelinedCommands = 128
+	// minReadWait is how long a read takes at least if it had to wait for its bytes.
+	minReadWait = time.Millisecond
 	// maxFullTime is how long the read buffer may be full, with commands that may not be
 	// started, before they are refused. Until then a client that sends faster than it is
 	// answered is slowed down.
@@ -102,8 +104,12 @@
 			continue
 		}
 		room := in.buf[len(in.buf):cap(in.buf)]
+		begin := time.Now()
 		n, err := c.nc.Read(room)
 		now := time.Now()
+		if n > 0 && now.Sub(begin) >= minReadWait {
+			in.checkedAt = now // the bytes have come just now, so the client is connected
+		}
 		if n < len(room) {
 			in.fullSince = time.Time{} // all that had arrived is read
 		}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -37,9 +37,10 @@
 	backend *backend
 	pool    *pool
 
-	idleSince        time.Time     // time of its last answer; only used by the loop
-	idleElement      *list.Element // its element in pool.idleConns; only used by the loop
-	partialDeadlines int           // number set for the current answer; only used by the reader
+	idleSince        time.Time       // time of its last answer; only used by the loop
+	idleElement      *list.Element   // its element in pool.idleConns; only used by the loop
+	partialDeadlines int             // number set for the current answer; only used by the reader
+	raw              syscall.RawConn // of nc; only used by the reader
 
 	mu       sync.Mutex
 	current  *attempt // nil while the connection is idle
@@ -149,13 +150,14 @@
 // that and the look at the current attempt, and bytes that came before its request would
 // count as its answer.
 func (c *conn) read(buf []byte) (n int, a *attempt, err error) {
-	raw, err := c.nc.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return 0, c.attemptForRead(), err
+	if c.raw == nil {
+		if c.raw, err = c.nc.(syscall.Conn).SyscallConn(); err != nil {
+			return 0, c.attemptForRead(), err
+		}
 	}
 	taken := false
 	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
+	err = c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		n, readErr = readNonblocking(int(fd), buf)
