Close a connection for too many commands only after two waits without a slot

What callers could see: a client with many commands closed although its answers were on their way, if the process was held up for 40 ms just then.

Cause: the time since the last free slot was compared with 40 ms, also when no wait had passed in between, and a free slot that was already signalled was not looked at.

Change: two waits of 20 ms in a row must have freed no slot. A hold-up makes one of them look long, and the loop and the writer run in the other.

--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -28,6 +28,9 @@
 	// started, before they are refused. Until then a client that sends faster than it is
 	// answered is slowed down.
 	maxFullTime = 40 * time.Millisecond
+	// maxFruitlessWaits is how many waits of a part of maxFullTime without a free slot close a
+	// connection with many answers due. One may be long only because the process was held up.
+	maxFruitlessWaits = 2
 	// maxPendingAnswers is how many answers of a connection may be due, with those to commands
 	// that were refused for a full read buffer.
 	maxPendingAnswers = 1024
@@ -71,7 +74,8 @@
 	pipelineFull bool      // no command is started until the writer has freed a slot
 	checkedAt    time.Time // when the client was last seen to be connected
 	fullSince    time.Time // since when the buffer is full or more bytes wait; zero: neither
-	slotFreedAt  time.Time // when a slot was last freed while the buffer was full, or fullSince
+	// fruitlessWaits is how many waits in a row, while the buffer was full, freed no slot.
+	fruitlessWaits int
 }
 
 // readCommands reads and starts commands as they arrive, and returns the reason why
@@ -197,23 +201,20 @@
 func (c *client) handleFullBuffer(in *input) error {
 	now := time.Now()
 	if in.fullSince.IsZero() {
-		in.fullSince, in.slotFreedAt = now, now
+		in.fullSince, in.fruitlessWaits = now, 0
 	}
-	untilRefusal := maxFullTime - now.Sub(in.fullSince)
-	if untilRefusal <= 0 && c.pendingAnswers() < maxPendingAnswers/2 {
+	if now.Sub(in.fullSince) >= maxFullTime && c.pendingAnswers() < maxPendingAnswers/2 {
+		in.fruitlessWaits = 0
 		return c.refuseBuffered(in)
 	}
-	wait := maxFullTime - now.Sub(in.slotFreedAt)
-	if wait <= 0 {
+	if in.fruitlessWaits >= maxFruitlessWaits {
 		return errTooManyCommands
 	}
-	if untilRefusal > 0 {
-		wait = min(wait, untilRefusal)
-	}
 	select {
 	case <-c.slotFreed:
-		in.slotFreedAt = time.Now()
-	case <-time.After(wait):
+		in.fruitlessWaits = 0
+	case <-time.After(maxFullTime / maxFruitlessWaits):
+		in.fruitlessWaits++
 	}
 	if c.hasDisconnected(in) {
 		return errClientDisconnected
--- a/internal/ingress/overflow_test.go
+++ b/internal/ingress/overflow_test.go
@@ -114,20 +114,25 @@
 func TestFullBufferWaitsForASlot(t *testing.T) {
 	long := time.Now().Add(-maxFullTime)
 	for _, c := range []struct {
-		name                   string
-		fullSince, slotFreedAt time.Time
-		pending                int
-		slotFreed              bool
-		wantRefused            bool
-		want                   error
+		name           string
+		fullSince      time.Time
+		fruitlessWaits int
+		pending        int
+		slotFreed      bool
+		wantRefused    bool
+		wantWaits      int
+		want           error
 	}{
 		{name: "a slot becomes free", slotFreed: true},
-		{name: "no slot becomes free in time"},
-		{name: "full for too long", fullSince: long, slotFreedAt: long, wantRefused: true},
+		{name: "no slot becomes free in time", wantWaits: 1},
+		{name: "full for too long", fullSince: long, fruitlessWaits: maxFruitlessWaits, wantRefused: true},
 		{name: "full for too long, with many answers due, while slots become free",
-			fullSince: long, slotFreedAt: time.Now().Add(time.Hour), pending: maxPendingAnswers / 2, slotFreed: true},
+			fullSince: long, fruitlessWaits: maxFruitlessWaits - 1, pending: maxPendingAnswers / 2, slotFreed: true},
+		{name: "full for too long, with many answers due, after one wait",
+			fullSince: long.Add(-time.Hour), pending: maxPendingAnswers / 2, wantWaits: 1},
 		{name: "full for too long, with many answers due, and no slot",
-			fullSince: long, slotFreedAt: long, pending: maxPendingAnswers / 2, want: errTooManyCommands},
+			fullSince: long, fruitlessWaits: maxFruitlessWaits, pending: maxPendingAnswers / 2,
+			wantWaits: maxFruitlessWaits, want: errTooManyCommands},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t, nil, newFakeBackend(t).member("b"))
@@ -136,7 +141,7 @@
 				client.push(&slot{})
 			}
 			in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"))
-			in.fullSince, in.slotFreedAt = c.fullSince, c.slotFreedAt
+			in.fullSince, in.fruitlessWaits = c.fullSince, c.fruitlessWaits
 			if c.slotFreed {
 				notify(client.slotFreed)
 			}
@@ -146,6 +151,9 @@
 			if refused := len(in.buf) == 0; refused != c.wantRefused {
 				t.Errorf("the command is refused: %v, want %v", refused, c.wantRefused)
 			}
+			if in.fruitlessWaits != c.wantWaits {
+				t.Errorf("%d waits without a free slot are counted, want %d", in.fruitlessWaits, c.wantWaits)
+			}
 			if in.fullSince.IsZero() {
 				t.Error("the buffer does not count as full although the socket was not drained")
 			}
@@ -161,7 +169,7 @@
 	f := newConnFixture(t)
 	c := newClient(r.server, f.nc)
 	in := newInput(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody))
-	in.fullSince, in.slotFreedAt = time.Now().Add(-maxFullTime), time.Now().Add(time.Hour)
+	in.fullSince = time.Now().Add(-maxFullTime)
 	for n := range 3 {
 		if err := c.handleFullBuffer(&in); err != nil || c.pendingAnswers() > n+1 || len(in.buf) > 0 {
 			t.Fatalf("command %d is not refused at once, error %v", n, err)
