Review case 7: a slow discovery that is asked is never followed after SIGHUP

Cause: after a move of discovery the whole list has to be fetched within 1.5 s, and that limit does not grow; each call to a service that answers after 2 s is given up, and drains are never learned. No code is changed.

--- a/review/standins2/discovery.go
+++ b/review/standins2/discovery.go
@@ -42,7 +42,7 @@
 	revision int
 	members  map[string]member
 	conns    map[net.Conn]bool
-	onTold   func(m member, at time.Time) // an entry was written to a watch
+	delay    time.Duration // before the first byte of each answer
 }
 
 func (r *rig) startDiscovery(name string) *discovery {
@@ -74,6 +74,13 @@
 	d.rig.logf("%s has revision %d: %s %s", d.name, d.revision, m.ID, m.Phase)
 }
 
+// member returns an entry.
+func (d *discovery) member(id string) member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members[id]
+}
+
 // list returns the whole list.
 func (d *discovery) list() memberList {
 	d.mu.Lock()
@@ -111,18 +118,19 @@
 		http.NotFound(w, req)
 		return
 	}
+	d.rig.logf("%s was asked: %s", d.name, req.URL)
+	select {
+	case <-time.After(d.delay):
+	case <-req.Context().Done():
+		d.rig.logf("%s: the call was given up: %s", d.name, req.URL)
+		return
+	}
 	write := func(l memberList) bool {
 		text := must(json.Marshal(l))
 		_, err := fmt.Fprintf(w, "%s\n", text)
 		w.(http.Flusher).Flush()
-		at := time.Now()
 		if err == nil {
 			d.rig.logf("%s wrote revision %d, whole: %v", d.name, l.Revision, l.Complete)
-			if d.onTold != nil {
-				for _, m := range l.Members {
-					d.onTold(m, at)
-				}
-			}
 		}
 		return err == nil
 	}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -10,6 +10,7 @@
 )
 
 var cases = map[string]func(*rig){
+	"slow-discovery":  slowDiscovery,
 	"stopped-clients": stoppedClients,
 }
 
