--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -11,6 +11,7 @@
 
 var cases = map[string]func(*rig){
 	"slow-discovery":  slowDiscovery,
+	"small-memory":    smallMemory,
 	"stopped-clients": stoppedClients,
 }
 
