Review case 9: attempts for clients that sent much and went during a shutdown

Cause: from 0.5 s after SIGTERM a used connection with open requests is no longer read; a close behind more bytes than the system holds stays unseen, and the module goes on hedging. No code is changed.

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -5,11 +5,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
 var cases = map[string]func(*rig){
+	"gone-clients":    goneClients,
 	"slow-discovery":  slowDiscovery,
 	"small-memory":    smallMemory,
 	"stopped-clients": stoppedClients,
@@ -37,16 +40,18 @@
 		}
 	}()
 	r := newRig(root, *dir, os.Getenv("TROUBLE") != "0")
-	ended := false
-	time.AfterFunc(110*time.Second, func() {
-		if !ended {
-			fmt.Fprintln(os.Stderr, "the case took too long")
-			r.close()
-			os.Exit(2)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(110 * time.Second):
 		}
-	})
+		fmt.Fprintln(os.Stderr, "the case was stopped, or took too long")
+		r.close()
+		os.Exit(2)
+	}()
 	defer func() {
-		ended = true
 		if n := r.close(); n > 0 && code == 0 {
 			fmt.Printf("broken: %d times\n", n)
 			code = 1
