Notice a close behind unread bytes on connections that accept no further command

Callers saw: a client sent 24 MB and closed its connection while its ingress was draining and half of the backends hung. Hedges of its six requests began 0.83 to 0.97 s after the close and ran.

Cause: once the listener is closed, a connection that has sent a command accepts no further one, and disconnectsBeforeWritten left unread what arrived until the open requests were answered. The receive buffer filled, so the end of the stream stayed in the client's system, and the poll of the connection's state saw ESTABLISHED. Checked: both ends in /proc/net/tcp (128,000 bytes unread, FIN_WAIT1 with 3.8 MB behind them), the detailed log (all late attempts are hedges, no connection was seen as disconnected). Ruled out: late first attempts, and a gateway that knows of the close.

Change: while requests are open and more than 16 KB are unread, what has arrived is read, and its commands are refused with advice. Less than that stays unread as before, as a close behind it arrives. The writer keeps the connection open until all that was read is answered.

--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -80,7 +80,7 @@
 // the client has received them: closing the connection earlier would lose answers. It
 // returns early if the client disconnects. An evicted connection owes no answers. With
 // discardInput set, what the client sends while requests are open is dropped; otherwise it
-// stays unread.
+// stays unread, or is refused if it is much.
 func (c *client) flushAndLinger(discardInput bool) {
 	c.mu.Lock()
 	c.closing = true
@@ -103,7 +103,7 @@
 	if discardInput && c.hasOpenRequests() {
 		return c.discardUntilWritten()
 	}
-	return c.waitReadable() || peerClosedBefore(c, c.writerDone)
+	return c.disconnectsBehindUnread()
 }
 
 // discardUntilWritten waits until the answers that are due are written, and reads and drops
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -227,11 +227,25 @@
 // requests would not be counted, and a close behind more bytes than the system holds would
 // not arrive.
 func (c *client) refuseBuffered(in *input) error {
-	remaining := in.buf
+	remaining, err := c.refuseCommands(in)
+	if err != nil {
+		return err
+	}
+	if len(remaining) == len(in.buf) {
+		return errNoMemory // for the rest of the first command
+	}
+	in.buf, err = c.resizeBuffer(in.buf, remaining, true)
+	return err
+}
+
+// refuseCommands refuses the complete commands in the read buffer, as far as the connection
+// may have more answers due, and returns the bytes behind them.
+func (c *client) refuseCommands(in *input) (remaining []byte, err error) {
+	remaining = in.buf
 	for len(remaining) > 0 && c.pendingAnswers() < maxPendingAnswers {
 		args, n, err := nextCommand(remaining)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if n == 0 {
 			break
@@ -242,15 +256,10 @@
 			continue
 		}
 		if err := c.refuseCommand(args); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	if len(remaining) == len(in.buf) {
-		return errNoMemory // for the rest of the first command
-	}
-	var err error
-	in.buf, err = c.resizeBuffer(in.buf, remaining, true)
-	return err
+	return remaining, nil
 }
 
 // refuseCommand answers a command without starting it. It returns an error if the connection
--- a/internal/ingress/overflow_test.go
+++ b/internal/ingress/overflow_test.go
@@ -71,6 +71,60 @@
 	}
 }
 
+// Guards against attempts for a client that has gone during a shutdown: on a connection that
+// accepts no further command, a close behind more bytes than the system holds is noticed.
+func TestCloseBehindUndeliverableBytesIsNoticedAfterStop(t *testing.T) {
+	for name, filler := range map[string]string{
+		"long commands":   encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody),
+		"short commands":  encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY"),
+		"malformed input": longBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFakeBackend(t)
+			r, options := newLongDeadlineRig(t, b)
+			c := r.dial()
+			c.send("Q.DO", testCustomer, newRequestID(), options, "BODY")
+			got := wait(t, "the request", b.commands)
+			r.stopAndCloseListener()
+			r.waitForAnyClient("the connection to be closing", func(c *client) bool { return c.closing })
+			writeUntilFull(t, c.nc, []byte(filler))
+			c.nc.Close()
+			if wait(t, "the end of the attempt", b.closed) != got.nc {
+				t.Error("another connection to the backend is closed")
+			}
+		})
+	}
+}
+
+// A client that stays is answered in order: the commands that are read after the decision to
+// close the connection are refused, an incomplete one too, and none reaches a backend.
+func TestCommandsReadAfterCloseDecisionAreRefused(t *testing.T) {
+	b := newFakeBackend(t)
+	r, options := newLongDeadlineRig(t, b)
+	c := r.dial()
+	c.send("Q.DO", testCustomer, newRequestID(), options, "BODY")
+	slow := wait(t, "the request", b.commands)
+	r.stopAndCloseListener()
+	r.waitForAnyClient("the connection to be closing", func(c *client) bool { return c.closing })
+	const behind = 5
+	for range behind {
+		c.send("Q.DO", testCustomer, newRequestID(), options, longBody)
+	}
+	c.write(encode("Q.DO", testCustomer, newRequestID(), options, longBody)[:len(longBody)/2])
+	r.waitForAnyClient("the refusals", func(c *client) bool { return len(c.pending) == behind+1 })
+	r.eventually("the partial command to be read", func(*loop) bool { return !r.hasUnreadInput(c) })
+	slow.replyValue("v")
+	c.wantLine("$1\r\nv")
+	for range behind + 1 { // with the partial command
+		if got := c.readLine(); !strings.HasPrefix(got, "-BUSY ") {
+			t.Fatalf("a command after the decision to close is answered %q, want -BUSY with advice", got)
+		}
+	}
+	c.wantClosed()
+	wantNone(t, "a request at the backend", b.commands)
+	r.eventually("the memory to be released", func(l *loop) bool { return l.memory.used.Load() == 0 })
+}
+
 // Guards against a wrong time that backends are told: commands behind a full pipeline are not
 // left in the socket, where their time would not count. Those for which the read buffer has
 // no room are refused at once, and the client is answered in order.
