Begin no attempt for a client whose close may be hidden behind unread bytes

Hedges and retries of a client whose read buffer is full while slots become free one by one share the cause.

Cause: commands were started in the order in which they were read, and further attempts went on, while megabytes and the end of the stream were still behind them. The state of the connection shows a close only once the system has delivered it.

Change: an attempt begins only if its client was seen to be connected within 60 ms: less than 16 KB are unread and the state shows no close. It waits up to 60 ms for the reader, then counts as cancelled before it was sent. A reader refuses commands under the same condition.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// cancelUnsent is called when the request has ended. It cancels the attempt if the
-// attempt still waits for its connection, as no client waits for its answer. Whether an
+// cancelUnsent is called when the request has ended, or its client may have gone. It cancels
+// the attempt if the attempt still waits for its connection, as no client waits for its answer. Whether an
 // attempt in flight is canceled is decided by the gateway.
 func (a *attempt) cancelUnsent() {
 	a.mu.Lock()
@@ -62,6 +62,9 @@
 	}
 }
 
+// hasClient reports whether a client waits for the answer. A probe needs none.
+func (a *attempt) hasClient() bool { return a.request == nil || a.request.client.awaitPresence() }
+
 // unsentStatus returns the status of an attempt that was not fully written.
 func (a *attempt) unsentStatus() choice.Status {
 	a.mu.Lock()
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -25,6 +25,7 @@
 	slotFreed       chan struct{} // signals that the writer has removed slots from pending
 	writerDone      chan struct{} // closed when the writer has returned
 	invalidCommands atomic.Int32  // number of invalid commands so far
+	lastSeen        atomic.Int64  // when the client was last known to be connected, in ns since opened
 
 	mu               sync.Mutex
 	pending          []*slot   // commands not answered yet, in order
@@ -47,8 +48,10 @@
 // newClient returns the client of an accepted connection, which serve then runs.
 func newClient(s *Server, nc net.Conn) *client {
 	now := time.Now()
-	return &client{server: s, id: s.lastClientID.Add(1), nc: nc, opened: now, lastActive: now,
+	c := &client{server: s, id: s.lastClientID.Add(1), nc: nc, opened: now, lastActive: now,
 		writerWake: make(chan struct{}, 1), slotFreed: make(chan struct{}, 1), writerDone: make(chan struct{})}
+	c.markSeen(now.Add(-maxUnseenTime)) // it may have waited in the listener's backlog
+	return c
 }
 
 // notify sends a signal on a channel of capacity 1, unless one is already queued.
--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -227,6 +227,9 @@
 	now := time.Now()
 	if !isPeerClosedState(info.State) {
 		in.checkedAt = now
+		if !c.hidesClose() {
+			c.markSeen(now)
+		}
 	}
 	age := time.Duration(info.Last_data_recv) * time.Millisecond
 	if age >= arrivalResolution {
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -353,6 +353,12 @@
 		if len(args) == 0 { // an empty array is no command
 			continue
 		}
+		if !c.isPresent(time.Now()) {
+			if err := c.refuseCommand(args); err != nil {
+				return false, err
+			}
+			continue
+		}
 		invalid := c.startCommand(args, n, arrivedAt)
 		if invalid == nil {
 			continue
--- a/internal/ingress/client_refusal.go
+++ b/internal/ingress/client_refusal.go
@@ -34,7 +34,7 @@
 		if peerClosed(c.nc) {
 			return true
 		}
-		if unreadBytes(c.nc) < maxUnreadBytes || !c.postponeClosing() {
+		if !c.hidesClose() || !c.postponeClosing() {
 			continue
 		}
 		err := c.refuseReceived()
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -53,6 +53,9 @@
 // send writes the command of the attempt. It returns false if the connection could not be
 // used and nothing was written; otherwise the reader finishes the attempt.
 func (c *conn) send(a *attempt) bool {
+	if !a.hasClient() {
+		a.cancelUnsent()
+	}
 	c.mu.Lock()
 	if c.unusable || !c.nothingToRead() {
 		c.mu.Unlock()
--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -307,28 +307,34 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	nc, peer := newConnPair(t)
+	f := &connFixture{peer: peer, outcomes: make(chan choice.Status, 1)}
+	p := newPool(&cfg, &memoryBudget{limit: 1 << 30}, func(_ *attempt, r reply, _ time.Duration, _ *conn) { f.outcomes <- r.status }, func(*conn) {})
+	f.conn = &conn{nc: nc, backend: &backend{id: 1, addr: nc.RemoteAddr().String()}, pool: p}
+	return f
+}
+
+// newConnPair returns both ends of a connection. Its listener stays open during the test.
+func newConnPair(t *testing.T) (nc, peer net.Conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	nc, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
+	if nc, err = net.Dial("tcp", ln.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	peer, err := ln.Accept()
-	if err != nil {
+	if peer, err = ln.Accept(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close(); peer.Close() })
 	peer.SetDeadline(time.Now().Add(testTimeout))
-	f := &connFixture{peer: peer, outcomes: make(chan choice.Status, 1)}
-	p := newPool(&cfg, &memoryBudget{limit: 1 << 30}, func(_ *attempt, r reply, _ time.Duration, _ *conn) { f.outcomes <- r.status }, func(*conn) {})
-	f.conn = &conn{nc: nc, backend: &backend{id: 1, addr: ln.Addr().String()}, pool: p}
-	return f
+	return nc, peer
 }
 
-// newAttempt returns an attempt of a payment to the backend of the connection.
+// newAttempt returns an attempt of a payment, by a client that is connected, to the backend of
+// the connection.
 func (f *connFixture) newAttempt(t *testing.T) *attempt {
 	t.Helper()
 	cmd, err := f.pool.cfg.parseCommand([][]byte{
@@ -336,7 +342,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &attempt{pool: f.pool, request: &request{command: cmd}, backend: f.backend, started: time.Now(),
+	clientConn, _ := newConnPair(t)
+	c := &client{nc: clientConn, opened: time.Now()}
+	return &attempt{pool: f.pool, request: &request{command: cmd, client: c}, backend: f.backend, started: time.Now(),
 		deadline: time.Now().Add(testTimeout), writeDone: make(chan struct{})}
 }
 
