Make clients that send faster than they are read take turns

Attempts for clients that had left began late although their check had passed: the process lacked processor time between check and write.

Cause: a reader whose socket is never empty goes on until the runtime preempts it after 10 ms, at each step of every other request, and its requests compete with all others.

Change: a reader that has worked for 0.5 ms without waiting for bytes takes a turn, one a millisecond for all such readers; after 0.1 s its requests are refused until it has waited. No turns in a shutdown.

--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -113,7 +113,9 @@
 // that has gone would go on.
 func (c *client) discardUntilWritten() (closed bool) {
 	buf := make([]byte, readBufferBytes)
+	slices := newInputSlices(c.server.inputPacer)
 	for {
+		slices.pause()
 		select {
 		case <-c.writerDone:
 			return false
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -68,12 +68,13 @@
 // input holds the bytes that the reader has read and not yet parsed into commands.
 type input struct {
 	buf          []byte
-	arrivals     arrivals  // when the bytes of buf arrived
-	completeBy   time.Time // when the next command has to be complete; zero: no limit
-	blockedUntil time.Time // no command is started before this time
-	pipelineFull bool      // no command is started until the writer has freed a slot
-	checkedAt    time.Time // when the client was last seen to be connected
-	fullSince    time.Time // since when the buffer is full or more bytes wait; zero: neither
+	arrivals     arrivals    // when the bytes of buf arrived
+	completeBy   time.Time   // when the next command has to be complete; zero: no limit
+	blockedUntil time.Time   // no command is started before this time
+	pipelineFull bool        // no command is started until the writer has freed a slot
+	checkedAt    time.Time   // when the client was last seen to be connected
+	fullSince    time.Time   // since when the buffer is full or more bytes wait; zero: neither
+	slices       inputSlices // of the reader's work
 	// fruitlessWaits is how many waits in a row, while the buffer was full, freed no slot.
 	fruitlessWaits int
 }
@@ -84,7 +85,8 @@
 func (c *client) readCommands() error {
 	// Without a limit, a client that sends nothing, or only part of a command,
 	// would hold its file descriptor forever.
-	in := input{buf: make([]byte, 0, readBufferBytes), completeBy: c.opened.Add(firstCommandTimeout)}
+	in := input{buf: make([]byte, 0, readBufferBytes), completeBy: c.opened.Add(firstCommandTimeout),
+		slices: newInputSlices(c.server.inputPacer)}
 	defer func() { c.server.loop.memory.release(inputMemory, cap(in.buf)-readBufferBytes) }()
 	c.expectReceived(&in)
 	for {
@@ -92,6 +94,7 @@
 		if err != nil {
 			return err
 		}
+		in.slices.pause()
 		if err := c.prepareRead(&in, blocked); err != nil {
 			return err
 		}
@@ -113,6 +116,7 @@
 		now := time.Now()
 		if n > 0 && now.Sub(begin) >= minReadWait {
 			in.checkedAt = now // the bytes have come just now, so the client is connected
+			in.slices.waited(now)
 		}
 		if n < len(room) {
 			in.fullSince = time.Time{} // all that had arrived is read
@@ -353,7 +357,7 @@
 		if len(args) == 0 { // an empty array is no command
 			continue
 		}
-		if !c.isPresent(time.Now()) {
+		if now := time.Now(); in.slices.overrun(now) || !c.isPresent(now) {
 			if err := c.refuseCommand(args); err != nil {
 				return false, err
 			}
--- a/internal/ingress/client_refusal.go
+++ b/internal/ingress/client_refusal.go
@@ -94,7 +94,9 @@
 // refuseUntilDrained reads and refuses commands until all that has arrived is read and no
 // command is incomplete.
 func (c *client) refuseUntilDrained(in *input) error {
+	slices := newInputSlices(c.server.inputPacer)
 	for {
+		slices.pause()
 		if over := c.setRefusalDeadline(in); over && len(in.buf) > 0 {
 			return errIncompleteCommand
 		} else if over {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -4,8 +4,9 @@
 // makes no load-balancing decisions itself.
 //
 // One goroutine, the loop (loop.go), owns the gateway. The goroutines of connections do
-// the I/O and post events to the loop: accept.go and the files of clients (client.go,
-// client_reader.go, client_writer.go, client_end.go) serve clients, pool.go, attempt.go and
+// the I/O and post events to the loop: accept.go, input_pacer.go and the files of clients
+// (client.go, client_reader.go, client_refusal.go, client_presence.go, client_writer.go,
+// client_end.go) serve clients, pool.go, attempt.go and
 // conn.go send requests to backends, and sources.go and discovery.go follow the list of
 // backends. command.go and frame.go parse and encode the protocol, memory.go and
 // request_ids.go limit what is held for clients, and shutdown.go drains a Server that is told
--- /dev/null
+++ b/internal/ingress/input_pacer_test.go
@@ -0,0 +1,103 @@
+package ingress
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against one client that takes the processor from the others: a client that sends
+// faster than it is read has to wait for its turn, and the others are served meanwhile.
+func TestFastClientTakesTurns(t *testing.T) {
+	b := newFakeBackend(t)
+	go b.handleEach(t, func(got receivedCommand) { got.replyValue("v") })
+	r := newRig(t, nil, b.member("b"))
+	pacer := r.server.inputPacer
+	pacer.turn.Lock()
+	fast := r.dial()
+	const commands = 200_000
+	go fast.nc.Write([]byte(strings.Repeat(encode("PING"), commands)))
+	answers := func() (n int) {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		for c := range r.server.clients {
+			c.mu.Lock()
+			n += c.answers
+			c.mu.Unlock()
+		}
+		return n
+	}
+	last, unchanged := 0, 0
+	r.eventually("the fast client to be held back", func(*loop) bool {
+		n := answers()
+		if unchanged++; n != last || n == 0 {
+			last, unchanged = n, 0
+		}
+		return unchanged > 20 // in several checks
+	})
+	if last >= commands {
+		t.Fatal("all commands of the fast client were started without a turn")
+	}
+	usual := r.dial()
+	sendLookup(usual)
+	usual.wantLine("$1\r\nv")
+	pacer.turn.Unlock()
+	for range commands {
+		fast.wantLine("+PONG")
+	}
+}
+
+// A reader that waits for bytes within its slice needs no turn, and none does during a
+// shutdown.
+func TestReaderThatWaitsNeedsNoTurn(t *testing.T) {
+	pacer := newInputPacer()
+	pacer.turn.Lock()
+	slices := newInputSlices(pacer)
+	slices.start = time.Now().Add(-time.Hour)
+	slices.waited(time.Now().Add(time.Hour))
+	slices.pause()
+	pacer.turn.Unlock()
+	pacer.stop()
+	slices.start = time.Now().Add(-time.Hour)
+	slices.pause()
+	if slices.overrunSince.IsZero() {
+		t.Error("the used slice is not noticed")
+	}
+}
+
+// Guards against one client that takes the place of the others: one that has sent faster than
+// it is read for too long has its requests refused, until the reader has waited for it again.
+func TestRequestsOfClientThatOverrunsAreRefused(t *testing.T) {
+	b := newFakeBackend(t)
+	r := newRig(t, nil, b.member("b"))
+	f := newConnFixture(t)
+	c := newClient(r.server, f.nc)
+	request := encode("Q.DO", testCustomer, newRequestID(), paymentOptions, "BODY")
+	now := time.Now()
+	in := newInput(request + encode("PING"))
+	in.checkedAt, in.slices.overrunSince = now, now.Add(-maxOverrun)
+	if _, err := c.startCommands(&in); err != nil {
+		t.Fatal(err)
+	}
+	want := string(r.server.busyReply()) + "+PONG\r\n"
+	if got := readUnread(t, f.peer, len(want)); got != want {
+		t.Errorf("the client gets %q, want %q", got, want)
+	}
+	next := newInput(request)
+	in.buf, in.arrivals = next.buf, next.arrivals
+	in.slices.waited(now)
+	if _, err := c.startCommands(&in); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the request at the backend", b.commands)
+}
+
+// A client that has sent fast only for a short time is not refused.
+func TestShortOverrunIsAllowed(t *testing.T) {
+	now := time.Now()
+	for since, want := range map[time.Time]bool{{}: false, now: false, now.Add(time.Millisecond - maxOverrun): false, now.Add(-maxOverrun): true} {
+		if got := (&inputSlices{overrunSince: since}).overrun(now); got != want {
+			t.Errorf("overrun since %v before now: %v, want %v", now.Sub(since), got, want)
+		}
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,6 +24,7 @@
 
 	lastClientID atomic.Uint64 // id of the newest connection
 	roomFreed    chan struct{} // signals that a connection has been removed
+	inputPacer   *inputPacer   // of the readers of all connections
 
 	mu               sync.Mutex
 	clients          map[*client]struct{}
@@ -47,7 +48,7 @@
 	}
 	return &Server{core: core, ln: ln.(*net.TCPListener), clients: map[*client]struct{}{},
 		allClientsClosed: make(chan struct{}), newSchedule: shutdown.NewSchedule, phaseEnd: phaseEnd,
-		roomFreed: make(chan struct{}, 1), discoveryAddrs: make(chan string)}, nil
+		roomFreed: make(chan struct{}, 1), inputPacer: newInputPacer(), discoveryAddrs: make(chan string)}, nil
 }
 
 // Reload applies the part of a configuration that may change while the ingress runs: the
--- a/internal/ingress/shutdown.go
+++ b/internal/ingress/shutdown.go
@@ -51,6 +51,7 @@
 	s.cfg.Log.EnableDetail() // records the outcome of every request during the shutdown
 	s.logState("draining")
 	s.loop.post(func(l *loop) { l.gateway.Stop(l.now(), schedule.AnswerBy.Sub(l.clockStart)) })
+	s.inputPacer.stop() // the time for what has arrived is short
 	s.drain(false)
 	go s.stopAccepting(schedule, acceptDone)
 	finalSchedule := schedule
