Take a read for a wait if no byte had come, however short it was

Callers saw: nothing yet; the suite found it.

Cause: a reader counted as one that waits only if a read took 1 ms, so a client with short round trips counted as one that sends faster than it is read.

Change: readOrWait reports whether the first non-blocking read found nothing.

The new test is answered -BUSY after 0.12 s without the change.

--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -112,11 +115,13 @@
 		}
 		room := in.buf[len(in.buf):cap(in.buf)]
 		begin := time.Now()
-		n, err := c.nc.Read(room)
+		n, waited, err := readOrWait(c.nc, room)
 		now := time.Now()
+		if waited {
+			in.slices.waited(now)
+		}
 		if n > 0 && now.Sub(begin) >= minReadWait {
 			in.checkedAt = now // the bytes have come just now, so the client is connected
-			in.slices.waited(now)
 		}
 		if n < len(room) {
 			in.fullSince = time.Time{} // all that had arrived is read
@@ -136,6 +141,32 @@
 	}
 }
 
+// readOrWait reads from a connection, and reports whether it had to wait for bytes.
+func readOrWait(nc net.Conn, buf []byte) (n int, waited bool, err error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, false, err
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		n, readErr = readNonblocking(int(fd), buf)
+		if errors.Is(readErr, syscall.EAGAIN) {
+			waited = true
+			return false
+		}
+		return true
+	})
+	switch {
+	case err != nil:
+		return 0, waited, err
+	case readErr != nil:
+		return 0, waited, os.NewSyscallError("read", readErr)
+	case n == 0:
+		return 0, waited, io.EOF
+	}
+	return n, waited, nil
+}
+
 // prepareRead returns the reason to stop reading. If there is none, it sets the read
 // deadline for the next read. blocked means that no command may be started now.
 func (c *client) prepareRead(in *input, blocked bool) error {
--- a/internal/ingress/input_pacer_test.go
+++ b/internal/ingress/input_pacer_test.go
@@ -1,6 +1,11 @@
 package ingress
 
 import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +106,40 @@
 		}
 	}
 }
+
+// Guards against refusals of a client that sends each request as soon as the last one is
+// answered: its reader waits for it, though only for moments.
+func TestClientThatWaitsForItsAnswersIsNotRefused(t *testing.T) {
+	b := newFakeBackend(t)
+	go b.handleEach(t, func(got receivedCommand) { got.replyValue("v") })
+	r := newRig(t, nil, b.member("b"))
+	c := r.dial()
+	for begin := time.Now(); time.Since(begin) < 3*maxOverrun; {
+		sendLookup(c)
+		c.wantLine("$1\r\nv")
+	}
+}
+
+// A read counts as a wait only if no byte had come.
+func TestReadOrWaitTellsWhetherItWaited(t *testing.T) {
+	nc, peer := newConnPair(t)
+	buf := make([]byte, 1)
+	fmt.Fprint(peer, "ab")
+	for unreadBytes(nc) < 2 {
+		runtime.Gosched()
+	}
+	for range 2 {
+		if n, waited, err := readOrWait(nc, buf); n != 1 || waited || err != nil {
+			t.Errorf("with bytes: %d, %v, %v; want 1, false, nil", n, waited, err)
+		}
+	}
+	nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+	if n, waited, err := readOrWait(nc, buf); n != 0 || !waited || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("without bytes: %d, %v, %v; want 0, true, a time-out", n, waited, err)
+	}
+	peer.Close()
+	nc.SetReadDeadline(time.Time{})
+	if n, _, err := readOrWait(nc, buf); n != 0 || !errors.Is(err, io.EOF) {
+		t.Errorf("at the end: %d, %v; want 0, EOF", n, err)
+	}
+}
