Keep half of the memory budget for requests, and let long commands wait for memory

The memory limit was not passed (25.5 MB).

Cause: read buffers of incomplete commands share the budget with requests and took all of it (5,591,040 of 5,592,405 bytes in the log), so usual requests were refused before the gateway saw them. A command without memory was closed at once, and its client came again: 9,232 closes in 3.5 s.

Change: read buffers may take half of the budget. A command waits for memory for up to 0.5 s before its error; meanwhile a close is noticed, and no attempt begins behind a hidden one.

Result: the three new tests fail without it.

--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -31,6 +31,8 @@
 	// started, before they are refused. Until then a client that sends faster than it is
 	// answered is slowed down.
 	maxFullTime = 40 * time.Millisecond
+	// maxMemoryWait is how long a command waits for memory for the rest of it.
+	maxMemoryWait = 500 * time.Millisecond
 	// maxFruitlessWaits is how many waits of a part of maxFullTime without a free slot close a
 	// connection with many answers due. One may be long only because the process was held up.
 	maxFruitlessWaits = 2
@@ -58,6 +60,7 @@
 	errTooManyInvalidCommands = errors.New("too many wrong commands")
 	errTooManyCommands        = errors.New("too many commands without an answer")
 	errNoMemory               = errors.New("no memory is left for the command")
+	errNoInputMemory          = fmt.Errorf("%w: its read buffer can't grow", errNoMemory)
 	errServerClose            = errors.New("the connection accepts no further commands")
 	errEvicted                = fmt.Errorf("%w: evicted while idle to make room for a new connection", errServerClose)
 	errDraining               = fmt.Errorf("%w: the ingress is draining and no request is open", errServerClose)
@@ -240,7 +243,10 @@
 	}
 	if now.Sub(in.fullSince) >= maxFullTime && c.pendingAnswers() < maxPendingAnswers/2 {
 		in.fruitlessWaits = 0
-		return c.refuseBuffered(in)
+		err := c.refuseBuffered(in)
+		if !errors.Is(err, errNoInputMemory) || now.Sub(in.fullSince) >= maxMemoryWait {
+			return err
+		}
 	}
 	if in.fruitlessWaits >= maxFruitlessWaits {
 		return errTooManyCommands
@@ -267,10 +273,10 @@
 		return err
 	}
 	if len(remaining) == len(in.buf) {
-		return errNoMemory // for the rest of the first command
+		return errNoInputMemory // for the rest of the first command
 	}
-	in.buf, err = c.resizeBuffer(in.buf, remaining, true)
-	return err
+	in.buf = c.resizeBuffer(in.buf, remaining)
+	return nil
 }
 
 // refuseCommands refuses the complete commands in the read buffer, as far as the connection
@@ -339,25 +345,21 @@
 
 // resizeBuffer returns a buffer that holds the remaining bytes of buf and has room
 // for the next read. A full buffer that cannot grow, because it has its maximum size or
-// there is no memory, stays full while commands are blocked; if none are blocked,
-// resizeBuffer fails with errNoMemory.
-func (c *client) resizeBuffer(buf, remaining []byte, blocked bool) ([]byte, error) {
+// there is no memory, stays full.
+func (c *client) resizeBuffer(buf, remaining []byte) []byte {
 	budget := c.server.loop.memory
 	switch {
 	case len(remaining) == 0 && cap(buf) > readBufferBytes:
 		budget.release(inputMemory, cap(buf)-readBufferBytes)
-		return make([]byte, 0, readBufferBytes), nil
+		return make([]byte, 0, readBufferBytes)
 	case len(remaining) == cap(buf):
 		size := min(2*cap(buf), maxMessageBytes+readBufferBytes)
-		switch {
-		case size > cap(buf) && budget.reserve(inputMemory, size-cap(buf)):
-			return append(make([]byte, 0, size), remaining...), nil
-		case blocked:
-			return buf, nil
+		if size > cap(buf) && budget.reserve(inputMemory, size-cap(buf)) {
+			return append(make([]byte, 0, size), remaining...)
 		}
-		return buf, errNoMemory
+		return buf
 	}
-	return buf[:copy(buf[:cap(buf)], remaining)], nil
+	return buf[:copy(buf[:cap(buf)], remaining)]
 }
 
 // startCommands starts all complete commands that may be started, keeps the rest of
@@ -412,8 +414,8 @@
 	case !partial && c.hasSentCommand():
 		in.completeBy = time.Time{}
 	}
-	in.buf, err = c.resizeBuffer(in.buf, buf, blocked)
-	return blocked, err
+	in.buf = c.resizeBuffer(in.buf, buf)
+	return blocked, nil
 }
 
 // commandsBlocked reports whether no command may be started now, either because of
--- a/internal/ingress/client_refusal.go
+++ b/internal/ingress/client_refusal.go
@@ -120,8 +120,8 @@
 		if c.pendingAnswers() >= maxPendingAnswers {
 			return errTooManyCommands
 		}
-		if in.buf, err = c.resizeBuffer(in.buf, remaining, false); err != nil {
-			return err
+		if in.buf = c.resizeBuffer(in.buf, remaining); len(in.buf) == cap(in.buf) {
+			return errNoInputMemory
 		}
 		if len(in.buf) == 0 && n < len(room) {
 			return nil
--- a/internal/ingress/memory.go
+++ b/internal/ingress/memory.go
@@ -34,6 +34,10 @@
 	shortAnswerBytes = 512
 )
 
+// inputShareDivisor limits the read buffers of clients to 1/inputShareDivisor of the budget:
+// incomplete commands must not keep complete ones from being served.
+const inputShareDivisor = 2
+
 // memoryBudget counts the bytes that are held for clients, from when they are taken until
 // they are freed. Requests over the limit are refused, and long answers over it fail:
 // holding them could run the process out of memory. What each connection needs at least is
@@ -54,10 +58,21 @@
 		m.used.Add(-int64(n))
 		return false
 	}
-	m.usedBy[use].Add(int64(n))
+	if m.usedBy[use].Add(int64(n)) > m.limitOf(use) {
+		m.release(use, n)
+		return false
+	}
 	return true
 }
 
+// limitOf returns how many bytes may be used for one use.
+func (m *memoryBudget) limitOf(use memoryUse) int64 {
+	if use == inputMemory {
+		return m.limit / inputShareDivisor
+	}
+	return m.limit
+}
+
 // reserveRequest reserves what a request with a command of the given size needs until it is
 // done with, and its slot until its answer is written. It reports whether it has reserved
 // both.
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"runtime"
@@ -269,3 +270,64 @@
 		}
 	}
 }
+
+// Guards against usual requests that are refused while clients stop in the middle of long
+// commands: their read buffers may take only a part of the memory.
+func TestIncompleteCommandsLeaveMemoryForRequests(t *testing.T) {
+	b := newFakeBackend(t)
+	go b.handleEach(t, func(got receivedCommand) { got.replyValue("v") })
+	r := newRig(t, nil, b.member("b"))
+	for r.server.loop.memory.reserve(inputMemory, readBufferBytes) { // as incomplete commands do
+	}
+	for range 3 {
+		c := r.dial()
+		sendLookup(c)
+		c.wantLine("$1\r\nv")
+	}
+}
+
+// Guards against a long command of a usual client that is closed at once while others use up
+// the memory for read buffers: it waits for memory, for some time.
+func TestLongCommandWaitsForMemory(t *testing.T) {
+	b := newFakeBackend(t)
+	go b.handleEach(t, func(got receivedCommand) { got.replyValue("v") })
+	r := newRig(t, nil, b.member("b"))
+	memory := r.server.loop.memory
+	held := int(memory.limitOf(inputMemory))
+	if !memory.reserve(inputMemory, held) {
+		t.Fatal("the memory for read buffers can't be used up")
+	}
+	c := r.dial()
+	command := encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody)
+	c.write(command)
+	r.waitForAnyClient("the command to fill its read buffer", func(c *client) bool {
+		return unreadBytes(c.nc) == len(command)-readBufferBytes
+	})
+	memory.release(inputMemory, held)
+	c.wantLine("$1\r\nv")
+}
+
+// A command for the rest of which there is no memory for too long gets its error.
+func TestWaitForMemoryIsLimited(t *testing.T) {
+	for name, testCase := range map[string]struct {
+		waited time.Duration
+		want   error
+	}{
+		"for a while":  {maxFullTime, nil},
+		"for too long": {maxMemoryWait, errNoMemory},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil, newFakeBackend(t).member("b"))
+			c := newClient(r.server, newConnFixture(t).nc)
+			half := encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody)[:readBufferBytes]
+			in := newInput(half)
+			in.fullSince = time.Now().Add(-testCase.waited)
+			if err := c.handleFullBuffer(&in); !errors.Is(err, testCase.want) {
+				t.Errorf("error %v, want %v", err, testCase.want)
+			}
+			if string(in.buf) != half {
+				t.Errorf("the read buffer has changed")
+			}
+		})
+	}
+}
