Refuse requests with more than 64 options before decoding them

Change: requests with more than 64 options are invalid; the protocol has eight names.

Result: the new row of TestInvalidCommandsAreRejectedAndNotForwarded is forwarded without the change.

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -97,6 +97,7 @@
 		ask("spread=1", "spread=+1"), ask(",spread=1", ""),
 		ask("first=0", "first=1"), ask("first=0", "first=-1"), ask("first=0", "first=0.0"),
 		ask(",first=0", ""),
+		ask("first=0", "first=0"+strings.Repeat(",x=1", maxOptions)), // would take much time to decode
 		ask("first=0", "first=0,r=2"), ask("first=0", "first=0,r=x"), ask("first=0", "first=0,r="),
 		ask("first=0", "first=0,units=1"), ask("first=0", "first=0,c=lookup"), ask("first=0", "first=0,d=5"),
 		{"Q.ASK", testCustomer, testRequestID, "c=lookup,t=basic"},
--- a/internal/ingress/command.go
+++ b/internal/ingress/command.go
@@ -19,6 +19,7 @@
 	maxMessageBytes = maxValueBytes + 4096 // of a whole command or answer, with the largest value
 	maxMetricsBytes = 2048                 // of a load report or a usage report
 	maxArgs         = 16                   // of a command
+	maxOptions      = 64                   // of a request; each costs time to decode
 	maxDigits       = 15                   // of a number, including the decimal point
 	answerElements  = 3                    // of an answer with a value
 	maxUsedPercent  = 10_000               // no customer uses a hundred times its quota
@@ -98,6 +99,9 @@
 	gateways := max(1, cfg.Choice.Gateways)
 	var seen option
 	options := args[optionsArg]
+	if bytes.Count(options, []byte(",")) >= maxOptions {
+		return nil, errors.New("too many options")
+	}
 	for start := 0; start <= len(options); {
 		end := len(options)
 		if i := bytes.IndexByte(options[start:], ','); i >= 0 {
