Let only readers that have read much without waiting take turns

Callers saw: with 500 clients that sent requests of 16,000 fields, usual requests had a p50 of 888 ms (528 ms with valid ones), while the process used 44% of its core.

Cause: a reader that had not come to its first read within 0.5 ms, because the process was busy, waited for a turn behind all fast readers, one a millisecond.

Change: a turn is needed only after 128 KB were read without a wait, more than any one command.

--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -122,7 +122,12 @@
 		default:
 		}
 		c.nc.SetReadDeadline(time.Now().Add(peerCloseCheckInterval))
-		if _, err := c.nc.Read(buf); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		n, waited, err := readOrWait(c.nc, buf)
+		if waited {
+			slices.waited(time.Now())
+		}
+		slices.read(n)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return true
 		}
 	}
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -123,6 +123,7 @@
 		if waited {
 			in.slices.waited(now)
 		}
+		in.slices.read(n)
 		if n > 0 && now.Sub(begin) >= minReadWait {
 			in.checkedAt = now // the bytes have come just now, so the client is connected
 		}
--- a/internal/ingress/client_refusal.go
+++ b/internal/ingress/client_refusal.go
@@ -106,6 +106,7 @@
 		n, err := c.nc.Read(room)
 		switch {
 		case n > 0:
+			slices.read(n)
 			in.buf = in.buf[:len(in.buf)+n]
 			in.arrivals.add(n, time.Now())
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/ingress/input_pacer.go
+++ b/internal/ingress/input_pacer.go
@@ -9,6 +9,9 @@
 	// inputSlice is how long a reader goes on without having waited for bytes, until it takes
 	// turns with the other readers that do.
 	inputSlice = 500 * time.Microsecond
+	// unpacedBytes is how many bytes a reader may read without having waited until it takes
+	// turns. Any one command, and some thousand short ones, need no turn.
+	unpacedBytes = 128 << 10
 	// inputPause is the time between two turns of such readers.
 	inputPause = time.Millisecond
 	// maxOverrun is how long a client may send faster than it is read, until its commands are
@@ -44,6 +47,7 @@
 type inputSlices struct {
 	pacer        *inputPacer
 	start        time.Time // of the current slice
+	unwaited     int       // bytes read since the reader waited
 	overrunSince time.Time // when a slice was first used up since the reader waited; zero: none
 }
 
@@ -51,12 +55,17 @@
 func newInputSlices(p *inputPacer) inputSlices { return inputSlices{pacer: p, start: time.Now()} }
 
 // waited starts a new slice: the reader has waited for bytes, until now.
-func (s *inputSlices) waited(now time.Time) { s.start, s.overrunSince = now, time.Time{} }
+func (s *inputSlices) waited(now time.Time) {
+	s.start, s.unwaited, s.overrunSince = now, 0, time.Time{}
+}
+
+// read records that bytes were read.
+func (s *inputSlices) read(bytes int) { s.unwaited += bytes }
 
 // pause is called between two reads. It waits for a turn if the slice is used up.
 func (s *inputSlices) pause() {
 	now := time.Now()
-	if s.pacer == nil || now.Sub(s.start) < inputSlice {
+	if s.unwaited < unpacedBytes || now.Sub(s.start) < inputSlice {
 		return
 	}
 	if s.overrunSince.IsZero() {
--- a/internal/ingress/input_pacer_test.go
+++ b/internal/ingress/input_pacer_test.go
@@ -52,15 +52,20 @@
 	}
 }
 
-// A reader that waits for bytes within its slice needs no turn, and none does during a
-// shutdown.
+// Guards against a usual client that waits behind fast ones: a reader needs no turn before it
+// has read much without having waited, and none does during a shutdown.
 func TestReaderThatWaitsNeedsNoTurn(t *testing.T) {
 	pacer := newInputPacer()
 	pacer.turn.Lock()
 	slices := newInputSlices(pacer)
 	slices.start = time.Now().Add(-time.Hour)
-	slices.waited(time.Now().Add(time.Hour))
-	slices.pause()
+	slices.pause() // has read nothing
+	slices.read(unpacedBytes)
+	slices.waited(time.Now().Add(-time.Hour))
+	slices.pause() // has waited since
+	slices.read(unpacedBytes)
+	slices.start = time.Now().Add(time.Hour)
+	slices.pause() // its slice is not used up
 	pacer.turn.Unlock()
 	pacer.stop()
 	slices.start = time.Now().Add(-time.Hour)
