Replace the record of a backend when another process starts at its address

Callers saw: requests at processes that had gone.

Cause: a new start time closed the idle connections and kept the record. A connection in use at that moment became idle after its answer and was reused; an attempt that waited for a connection went to the process that had come since. Ruled out: idle connections, which were closed.

Change: a new start time replaces the record, as a new address does.

Result: both new tests time out without the change.

--- a/internal/ingress/conn_test.go
+++ b/internal/ingress/conn_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cedarseam/choice"
+	"cedarseam/internal/membership"
 )
 
 func TestNextReply(t *testing.T) {
@@ -261,6 +262,52 @@
 	}
 }
 
+// Guards against requests at a process that has gone: once discovery tells that another one
+// has started at its address, a connection that was in use carries no further request.
+func TestConnectionToPreviousProcessIsNotReused(t *testing.T) {
+	b := newFakeBackend(t)
+	member := b.member("b")
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, member)
+	c := r.dial()
+	sendLookup(c)
+	previous := wait(t, "the request", b.commands)
+	restarted := *member
+	restarted.UpSince = time.Now().UnixMilli()
+	r.applyList(membership.List{Revision: 8, Complete: true, Members: []*membership.Member{&restarted}})
+	previous.replyValue("v")
+	c.wantLine("$1\r\nv")
+	if nc := wait(t, "the end of the connection to the previous process", b.closed); nc != previous.nc {
+		t.Error("another connection is closed")
+	}
+	sendLookup(c)
+	next := wait(t, "the next request", b.commands)
+	if next.nc == previous.nc {
+		t.Error("the next request is sent to the previous process")
+	}
+	next.replyValue("w")
+	c.wantLine("$1\r\nw")
+}
+
+// Guards against requests at the wrong process: an attempt that still waits for its connection
+// when another process is told at the address is not sent there.
+func TestAttemptForPreviousProcessIsNotSent(t *testing.T) {
+	f := newConnFixture(t)
+	member := &membership.Member{ID: "b", HostPort: f.backend.addr}
+	previous := f.pool.updateMember(member, choice.Ready)
+	f.conn.backend = previous
+	a := f.newAttempt(t)
+	restarted := *member
+	restarted.UpSince = 1
+	current := f.pool.updateMember(&restarted, choice.Ready)
+	f.send(a)
+	go f.readAnswers()
+	f.wantStatus(t, choice.ConnectFailed)
+	f.wantNoBytes(t)
+	if current.id != previous.id || current.addr != previous.addr || current.unavailable.Load() {
+		t.Error("the restarted backend has another id or address, or is unavailable")
+	}
+}
+
 // The ingress closes idle connections itself, well before the backend does.
 func TestIdleConnectionIsClosedBeforeBackendTimeout(t *testing.T) {
 	b := newFakeBackend(t)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -78,17 +78,11 @@
 	case b == nil:
 		p.lastID++
 		b = p.addBackend(p.lastID, m)
-	case b.addr != m.HostPort && m.HostPort != "":
-		// Running attempts read the address without a lock, so a new address needs a
-		// new record.
-		p.markUnavailable(b)
-		replacement := p.addBackend(b.id, m)
-		replacement.startedFrom, replacement.startedAt = b.startedFrom, b.startedAt
-		b = replacement
-	case b.upSince != m.UpSince:
-		// The backend has restarted. Connections to its previous process may stay
-		// open and silent forever.
-		p.closeIdle(b)
+	case b.addr != m.HostPort && m.HostPort != "", b.upSince != m.UpSince:
+		// Another process, at another address or at the same one, needs a new record:
+		// attempts that wait for a connection were meant for the previous process, and
+		// connections to it, idle or in use, must not carry requests for the new one.
+		b = p.replaceBackend(b, m)
 	}
 	b.upSince = m.UpSince
 	if state == choice.Ready {
@@ -103,6 +97,18 @@
 	return b
 }
 
+// replaceBackend replaces the record of a backend by one of its new process, with the same id,
+// unavailable at first. A member without an address keeps the previous one.
+func (p *pool) replaceBackend(previous *backend, m *membership.Member) *backend {
+	p.markUnavailable(previous)
+	replacement := p.addBackend(previous.id, m)
+	if m.HostPort == "" {
+		replacement.addr = previous.addr
+	}
+	replacement.startedFrom, replacement.startedAt = previous.startedFrom, previous.startedAt
+	return replacement
+}
+
 // addBackend adds the record of a backend, unavailable at first.
 func (p *pool) addBackend(id uint32, m *membership.Member) *backend {
 	b := &backend{id: id, name: m.ID, addr: m.HostPort}
