Keep the zone and cell of an attempt for the retry that may follow

Callers saw: nothing yet; found by reading. A guarded request whose backend's id was taken by a new process in another zone or cell could be sent to that group, which has not seen it, and run twice.

Cause: effectAllows compared with the present zone and cell of the first attempt's backend, which a list replaces.

Change: an attempt records both when it is sent.

Result: TestRetryStaysInGroupOfFirstAttempt sees a retry in the other group without the change, for zones and cells, and none with it.

--- a/choice/attempts.go
+++ b/choice/attempts.go
@@ -47,7 +47,7 @@
 	g.inFlight++
 	r.inFlight++
 	r.customer.inFlight++
-	r.attempts = append(r.attempts, attempt{backend: b, sentAt: g.now})
+	r.attempts = append(r.attempts, attempt{backend: b, zone: b.Zone, cell: b.Cell, sentAt: g.now})
 	g.actions.Send(r.ID, b.ID, timeLeft)
 	if g.cfg.Classes[r.Class].Effect != SingleShot && (g.cfg.Hedging || g.cfg.Cancelling) {
 		delay := hedgeDelayAims * g.cfg.Classes[r.Class].Aim.Seconds()
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -138,6 +138,7 @@
 
 type attempt struct {
 	backend          *backend
+	zone, cell       int // of the backend at the time of the send
 	sentAt           time.Duration
 	ended, cancelled bool
 	neverRan         bool // the backend certainly did not execute it
--- a/choice/membership_test.go
+++ b/choice/membership_test.go
@@ -235,3 +235,29 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice: a backend whose id a new process in another group has taken does
+// not move the attempts of its predecessor there. The other group has not seen the request.
+func TestRetryStaysInGroupOfFirstAttempt(t *testing.T) {
+	for name, group := range map[string]choice.Group{"zone": choice.GroupZone, "cell": choice.GroupCell} {
+		for _, replaced := range []bool{false, true} {
+			cfg := baseConfig()
+			class := &cfg.Classes[0]
+			class.Effect, class.Group, class.DedupWindow = choice.Guarded, group, time.Minute
+			first := choice.Backend{ID: 1, Weight: 1, Zone: 1, Cell: 1}
+			g, rec := newTestGateway(t, cfg, []choice.Backend{first})
+			g.Request(0, choice.Request{ID: 1, Customer: 1, SetSize: 1, Units: 1, TimeLeft: 2 * time.Second})
+			other := choice.Backend{ID: 2, Weight: 1, Zone: 2, Cell: 2}
+			if replaced {
+				first.Zone, first.Cell, first.Started, first.StartKnown = 2, 2, 10*ms, true
+			} else {
+				other.Zone, other.Cell = 1, 1
+			}
+			g.UpdateBackends(10*ms, choice.Full, []choice.Backend{first, other})
+			g.Outcome(20*ms, choice.Outcome{ID: 1, Backend: 1, Status: choice.Reset, Elapsed: 20 * ms})
+			if retried := len(rec.sent[1]) > 1; retried == replaced {
+				t.Errorf("%s, replaced %t: retried %t", name, replaced, retried)
+			}
+		}
+	}
+}
--- a/choice/selection.go
+++ b/choice/selection.go
@@ -112,8 +112,8 @@
 	case Guarded:
 		// The repeat may have to wait for a connection, and has to start within the deduplication window.
 		return g.now-first.sentAt+g.cfg.ConnectTimeout < class.DedupWindow && (class.Group == GroupAll ||
-			class.Group == GroupZone && b.Zone == first.backend.Zone ||
-			class.Group == GroupCell && b.Cell == first.backend.Cell)
+			class.Group == GroupZone && b.Zone == first.zone ||
+			class.Group == GroupCell && b.Cell == first.cell)
 	}
 	return true
 }
