Fetch the whole list when the revision of discovery decreases

Cause: changes with a revision before the known one were applied to a list that their sender does not know.

Change: such changes end the watch, and the whole list is fetched.

Result: the new test gets the changes in place of the whole list without the change.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -313,10 +313,20 @@
 			return revision, fmt.Errorf("discovery: watch: %w", cmp.Or(context.Cause(ctx), err))
 		}
 		messageReceived()
+		if !list.Complete && list.Revision < revision {
+			// Another process answers at the address, with revisions of its own. Its
+			// changes refer to a list that is not known.
+			d.hasList = false
+			return revision, errRevisionDecreased
+		}
 		revision = list.Revision
 		deliverList(list)
 	}
 }
 
+// errRevisionDecreased is the error of a watch that sent changes with a revision before the one
+// that is known.
+var errRevisionDecreased = errors.New("discovery: watch: the revision has decreased")
+
 // errSilenceTimeout is the error of a watch that was closed because it fell silent.
 var errSilenceTimeout = errors.New("no message arrived in time")
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -89,6 +89,34 @@
 	wait(t, "a second watch", f.watchIndexes)
 }
 
+// Guards against requests at backends that are gone: a new process of discovery at the same
+// address has revisions of its own. Its changes refer to a list that is not known, so the whole
+// list is fetched.
+func TestDecreasedRevisionFetchesWholeList(t *testing.T) {
+	b := newFakeBackend(t)
+	f := newFakeDiscovery(t, b.member("b"))
+	close(f.listGate)
+	got := make(chan membership.List, 10)
+	d := newDiscoveryClient(f.Listener.Addr().String(), agentTiming(0), listBytesFloor, func(l membership.List) { got <- l })
+	go d.run(t.Context(), nil, nil)
+	wait(t, "the list", got)
+	wait(t, "a watch", f.watchIndexes)
+	f.mu.Lock()
+	f.list = membership.List{Revision: 3, Complete: true, Members: []*membership.Member{b.member("c")}}
+	f.mu.Unlock()
+	f.watchLines <- `{"revision":3,"complete":false,"members":[]}`
+	if l := wait(t, "the whole list", got); !l.Complete || len(l.Members) != 1 || l.Members[0].ID != "c" {
+		t.Errorf("after a decreased revision the list is %+v, want the whole new one", l)
+	}
+	if index := wait(t, "a watch", f.watchIndexes); index != "3" {
+		t.Errorf("the next watch starts at revision %s, want 3", index)
+	}
+	f.watchLines <- `{"revision":2,"complete":true,"members":[]}`
+	if l := wait(t, "a whole list", got); l.Revision != 2 || !l.Complete {
+		t.Errorf("a whole list with a decreased revision gives %+v, want that list", l)
+	}
+}
+
 // If the first call takes longer than the startup timeout, onFirstResult is called once
 // nevertheless, and the client gets the list when discovery answers.
 func TestStartupTimeoutReportsFirstResultOnce(t *testing.T) {
