Fit the shares of the memory limit beside what the connections need

Cause: customers, clients and request ids take shares of memory_mb that add up to 15.3 of 32 MB, beside up to 979 connections, where the runtime has 19.2 MB. In the log the live heap grew to 16.6 MB with the records of ever new customers, while the counted data stayed within 5.6 MB.

Change: where they would not fit, the shares are taken of what remains beside the runtime and 8 KB for each descriptor. With 64 MB and 256 descriptors nothing changes.

--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -56,6 +56,11 @@
 	customerMemoryDivisor = 4       // the records of customers may take this part of the memory
 	bytesPerCustomer      = 1400    // size of the record of one customer
 	customersFloor        = 1024    // this many records are kept in any case
+	runtimeBytes          = 3 << 20 // what the runtime needs besides the heap for clients
+	bytesPerSocket        = 8 << 10 // buffers, stacks and records of one connection
+	minSharedDivisor      = 8       // customers, clients and ids share this part of the memory in any case
+	// memoryShares is the sum of the shares of customers, clients and request ids.
+	memoryShares = 1.0/customerMemoryDivisor + 1.0/clientMemoryDivisor + 1.0/idMemoryDivisor
 )
 
 // Apply sets the limits of the Go runtime, for the whole process.
@@ -82,9 +87,18 @@
 // maxListBytes returns the maximum size of the text of a list of backends.
 func (l Limits) maxListBytes() int { return max(listBytesFloor, l.MemoryMB<<20/listMemoryDivisor) }
 
+// sharedMemory returns the number of bytes of which customers, clients and request ids have
+// their shares. It is the memory limit, or less if the sum of the shares would not fit beside
+// what the runtime and all connections need.
+func (l Limits) sharedMemory() int {
+	memory := float64(l.MemoryMB << 20)
+	available := heapMemoryShare*memory - runtimeBytes - bytesPerSocket*float64(l.Sockets)
+	return int(max(memory/minSharedDivisor, min(memory, available/memoryShares)))
+}
+
 // maxCustomers returns the maximum number of records of customers.
 func (l Limits) maxCustomers() int {
-	return max(customersFloor, l.MemoryMB<<20/customerMemoryDivisor/bytesPerCustomer)
+	return max(customersFloor, l.sharedMemory()/customerMemoryDivisor/bytesPerCustomer)
 }
 
 // Config is the configuration of one ingress.
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -75,13 +75,13 @@
 		cfg: cfg, clockStart: time.Now(),
 		events: make(chan event, eventQueueSize), done: make(chan struct{}),
 		requests: map[uint32]*request{},
-		memory:   &memoryBudget{limit: int64(cfg.Limits.MemoryMB) << 20 / clientMemoryDivisor},
+		memory:   &memoryBudget{limit: int64(cfg.Limits.sharedMemory() / clientMemoryDivisor)},
 	}
 	longestDeadline := time.Duration(0)
 	for _, c := range cfg.Choice.Classes {
 		longestDeadline = max(longestDeadline, c.Deadline)
 	}
-	l.requestIDs = newRequestIDs(longestDeadline+requestIDMargin, cfg.Limits.MemoryMB)
+	l.requestIDs = newRequestIDs(longestDeadline+requestIDMargin, cfg.Limits.sharedMemory())
 	l.pool = newPool(cfg, l.memory,
 		func(a *attempt, r reply, elapsed time.Duration, c *conn) {
 			l.post(func(l *loop) { l.handleAttemptEnd(a, r, elapsed, c) })
--- a/internal/ingress/request_ids.go
+++ b/internal/ingress/request_ids.go
@@ -29,10 +29,10 @@
 	refused recentIDs // of ended requests that had none
 }
 
-// newRequestIDs returns an empty set for a process with the given memory limit.
-func newRequestIDs(retention time.Duration, memoryMB int) *requestIDs {
+// newRequestIDs returns an empty set that takes its share of the given memory.
+func newRequestIDs(retention time.Duration, sharedMemory int) *requestIDs {
 	recent := recentIDs{retention: retention,
-		capacity: max(minRecentIDs, memoryMB<<20/idMemoryDivisor/idGenerations/bytesPerID)}
+		capacity: max(minRecentIDs, sharedMemory/idMemoryDivisor/idGenerations/bytesPerID)}
 	return &requestIDs{open: map[uint64]struct{}{}, sent: recent, refused: recent}
 }
 
