Give a call for the list more time after calls without an answer

Cause: each call for the whole list is given up after 1.5 s, however many calls that has ended before.

Change: the time doubles with each call without an answer, up to the 3 s of a watch. An agent on the same machine keeps its time.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -37,7 +37,8 @@
 type discoveryTiming struct {
 	silenceTimeout    time.Duration // a watch without a message for this long is broken
 	answerTimeout     time.Duration // maximum time to the first message of a watch
-	listTimeout       time.Duration // maximum time of a call for the full list; no client is served without a list
+	listTimeout       time.Duration // maximum time of the first call for the full list; no client is served without a list
+	maxListTimeout    time.Duration // the same after several calls without an answer
 	initialRetryDelay time.Duration // the first delay between two calls
 	maxRetryDelay     time.Duration // the longest delay
 	// retryDeadline is when the next call starts at the latest, counted from the last
@@ -69,8 +70,7 @@
 // spread evenly, and no more often.
 const (
 	// serviceCallTimeout is the time reserved for the call itself: a call that starts at
-	// retryDeadline ends half a grace period after a change counts as delivered. It also
-	// limits a call for the full list.
+	// retryDeadline ends half a grace period after a change counts as delivered.
 	serviceCallTimeout = 1500 * time.Millisecond
 	// serviceSilenceTimeout is the interval of the keep-alive lines and a margin. The
 	// same limit applies to the first message. If a whole tier gives up its watches or
@@ -91,7 +91,8 @@
 	}
 	answerTimeout := grace / agentAnswerDivisor
 	return discoveryTiming{
-		silenceTimeout: watchKeepAlive + answerTimeout, answerTimeout: answerTimeout, listTimeout: answerTimeout,
+		silenceTimeout: watchKeepAlive + answerTimeout, answerTimeout: answerTimeout,
+		listTimeout: answerTimeout, maxListTimeout: answerTimeout,
 		initialRetryDelay: grace / agentInitialDelayDivisor, maxRetryDelay: grace / agentMaxDelayDivisor,
 		retryDeadline: assumedDeliveryTime, initialJitter: agentRetryJitter, retryJitter: agentRetryJitter,
 	}
@@ -104,7 +105,8 @@
 		return min(max(time.Duration(gateways)*perIngress, serviceMinDelay), retryDeadline)
 	}
 	return discoveryTiming{
-		silenceTimeout: serviceSilenceTimeout, answerTimeout: serviceSilenceTimeout, listTimeout: serviceCallTimeout,
+		silenceTimeout: serviceSilenceTimeout, answerTimeout: serviceSilenceTimeout,
+		listTimeout: serviceCallTimeout, maxListTimeout: serviceSilenceTimeout,
 		initialRetryDelay: delay(serviceInitialDelayPerIngress), maxRetryDelay: delay(serviceMaxDelayPerIngress),
 		retryDeadline: retryDeadline, initialJitter: serviceInitialJitter, retryJitter: serviceRetryJitter,
 	}
@@ -152,7 +154,7 @@
 
 // fetchList gets the full list.
 func (d *discoveryClient) fetchList(ctx context.Context) (membership.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, d.listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.nextListTimeout())
 	defer cancel()
 	resp, err := d.get(ctx, d.baseURL)
 	if err != nil {
@@ -166,6 +168,18 @@
 	return list, nil
 }
 
+// nextListTimeout returns the maximum time of the next call for the full list. It doubles with each
+// call without an answer: a slow service would otherwise never be followed.
+func (d *discoveryClient) nextListTimeout() time.Duration {
+	timeout := d.listTimeout
+	for range d.failures {
+		if timeout *= 2; timeout >= d.maxListTimeout {
+			return d.maxListTimeout
+		}
+	}
+	return timeout
+}
+
 // newDecoder returns a decoder of the lists in an answer.
 func (d *discoveryClient) newDecoder(body io.Reader) *membership.Decoder {
 	decoder := membership.NewDecoder(body, d.maxListBytes, &d.decodeCache)
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -89,6 +89,49 @@
 	wait(t, "a second watch", f.watchIndexes)
 }
 
+// Guards against a backend's drain that is never learned: a service that takes longer for the
+// list than the first call waits is followed nevertheless.
+func TestSlowServiceIsFollowed(t *testing.T) {
+	const answerTime = 100 * time.Millisecond
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(answerTime):
+			io.WriteString(w, `{"revision":1,"complete":true,"members":[]}`)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(s.Close)
+	got := make(chan membership.List, 10)
+	timing := serviceTiming(1, 0)
+	timing.listTimeout, timing.initialRetryDelay, timing.maxRetryDelay = answerTime/4, time.Millisecond, time.Millisecond
+	d := newDiscoveryClient(s.Listener.Addr().String(), timing, listBytesFloor, func(l membership.List) { got <- l })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.run(ctx, nil, nil)
+	if l := wait(t, "the list", got); l.Revision != 1 {
+		t.Errorf("the list is %+v", l)
+	}
+}
+
+// The time for a list doubles with each call without an answer, up to that of a watch. A local
+// agent answers at once or not at all.
+func TestListTimeoutGrowsWithFailures(t *testing.T) {
+	for name, c := range map[string]struct {
+		timing discoveryTiming
+		want   []time.Duration
+	}{
+		"service": {serviceTiming(300, 0), []time.Duration{serviceCallTimeout, serviceSilenceTimeout, serviceSilenceTimeout}},
+		"agent":   {agentTiming(2 * time.Second), []time.Duration{500 * time.Millisecond, 500 * time.Millisecond}},
+	} {
+		for failures, want := range c.want {
+			d := discoveryClient{discoveryTiming: c.timing, failures: failures}
+			if got := d.nextListTimeout(); got != want {
+				t.Errorf("%s: after %d failures a call takes up to %v, want %v", name, failures, got, want)
+			}
+		}
+	}
+}
+
 // Guards against requests at backends that are gone: a new process of discovery at the same
 // address has revisions of its own. Its changes refer to a list that is not known, so the whole
 // list is fetched.
