Check that the client is connected once more right before the first byte

Cause: the check came before the lock and the system call that looks for unread bytes of the backend; a process that is short of processor time may be held up there.

Change: the check is repeated, without a wait, with the other last checks before the first byte.

Result: the new test times out without the change.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -30,7 +30,7 @@
 
 	mu              sync.Mutex
 	aborted         bool
-	requestFinished bool               // the request has ended, so an unsent attempt must not be sent
+	requestFinished bool               // the request has ended or its client may have gone: nothing is sent
 	cancelDial      context.CancelFunc // cancels the dial
 	conn            *conn              // the connection on which the attempt is in flight
 }
@@ -62,8 +62,12 @@
 	}
 }
 
-// hasClient reports whether a client waits for the answer. A probe needs none.
-func (a *attempt) hasClient() bool { return a.request == nil || a.request.client.awaitPresence() }
+// awaitClient reports whether a client waits for the answer. It waits for a moment if that is not
+// certain. A probe needs no client.
+func (a *attempt) awaitClient() bool { return a.request == nil || a.request.client.awaitPresence() }
+
+// hasClient does the same without a wait.
+func (a *attempt) hasClient() bool { return a.request == nil || a.request.client.isPresent(time.Now()) }
 
 // unsentStatus returns the status of an attempt that was not fully written.
 func (a *attempt) unsentStatus() choice.Status {
--- a/internal/ingress/client_presence_test.go
+++ b/internal/ingress/client_presence_test.go
@@ -105,3 +105,29 @@
 		t.Errorf("invalid commands are not counted, error %v", err)
 	}
 }
+
+// Guards against attempts for a client that has gone: one that closes after the first check, while
+// the attempt is held up, is noticed before the first byte.
+func TestClientThatLeavesBeforeFirstByteIsNoticed(t *testing.T) {
+	f := newConnFixture(t)
+	a := f.newAttempt(t)
+	nc, peer := newConnPair(t)
+	c := &client{nc: nc, opened: time.Now()}
+	a.request.client = c
+	a.mu.Lock() // holds up the attempt behind its first check
+	go f.send(a)
+	for passed := false; !passed; runtime.Gosched() {
+		f.conn.mu.Lock()
+		passed = f.current == a
+		f.conn.mu.Unlock()
+	}
+	peer.Close()
+	for !peerClosed(nc) {
+		runtime.Gosched()
+	}
+	c.markSeen(c.opened.Add(-maxUnseenTime))
+	a.mu.Unlock()
+	go f.readAnswers()
+	f.wantStatus(t, choice.CancelledBeforeSend)
+	f.wantNoBytes(t)
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -53,7 +53,7 @@
 // send writes the command of the attempt. It returns false if the connection could not be
 // used and nothing was written; otherwise the reader finishes the attempt.
 func (c *conn) send(a *attempt) bool {
-	if !a.hasClient() {
+	if !a.awaitClient() {
 		a.cancelUnsent()
 	}
 	c.mu.Lock()
@@ -68,7 +68,8 @@
 	a.mu.Lock()
 	// The last check before the first byte: a backend may have started to drain while
 	// the attempt waited for its connection, and must not get new requests then. Nor
-	// may a request be sent that has ended.
+	// may a request be sent that has ended, or whose client may have gone.
+	a.requestFinished = a.requestFinished || !a.hasClient()
 	if a.aborted || a.requestFinished || a.backend.unavailable.Load() {
 		a.mu.Unlock()
 		c.closeAsync()
