Count a client as connected when its bytes begin to come

Callers saw: nothing yet; found by reading. The first of several long commands that a client sent at once on a new connection was refused with -BUSY.

Cause: on a new connection the client had not been seen yet, and behind the first command more than 16 KB were unread, which may hide a close.

Change: a client counts as seen when the last bytes of a new connection came, and when a read had to wait for the bytes that it returns.

Result: the new test is answered -BUSY without the change.

--- a/internal/ingress/client_end.go
+++ b/internal/ingress/client_end.go
@@ -232,13 +232,11 @@
 		return
 	}
 	now := time.Now()
+	age := time.Duration(info.Last_data_recv) * time.Millisecond
 	if !isPeerClosedState(info.State) {
 		in.checkedAt = now
-		if !c.hidesClose() {
-			c.markSeen(now)
-		}
+		c.markSeen(now.Add(-age)) // when its last bytes came
 	}
-	age := time.Duration(info.Last_data_recv) * time.Millisecond
 	if age >= arrivalResolution {
 		in.arrivals.expect(unreadBytes(c.nc), now.Add(-age))
 	}
--- a/internal/ingress/client_presence_test.go
+++ b/internal/ingress/client_presence_test.go
@@ -131,3 +131,24 @@
 	f.wantStatus(t, choice.CancelledBeforeSend)
 	f.wantNoBytes(t)
 }
+
+// Guards against refusals of a usual client that sends several long commands at once on a new
+// connection: it was connected when they began to come.
+func TestLongCommandsSentAtOnceAreNotRefused(t *testing.T) {
+	b := newFakeBackend(t)
+	go b.handleEach(t, func(got receivedCommand) { got.replyValue("v") })
+	r := newRig(t, func(cfg *Config) { cfg.Choice.Probing = false }, b.member("b"))
+	const commands = 3
+	for range 10 {
+		var text strings.Builder
+		for range commands {
+			text.WriteString(encode("Q.DO", testCustomer, newRequestID(), paymentOptions, longBody))
+		}
+		c := r.dial()
+		c.write(text.String())
+		for range commands {
+			c.wantLine("$1\r\nv")
+		}
+		c.nc.Close()
+	}
+}
--- a/internal/ingress/client_reader.go
+++ b/internal/ingress/client_reader.go
@@ -122,6 +122,9 @@
 		now := time.Now()
 		if waited {
 			in.slices.waited(now)
+			if n > 0 {
+				c.markSeen(now) // its bytes have just begun to come
+			}
 		}
 		in.slices.read(n)
 		if n > 0 && now.Sub(begin) >= minReadWait {
